--- /dev/null
+++ b/internal/configurer/settings.go
@@ -0,0 +1,291 @@
+// Package configurer reads and checks the settings of one process.
+//
+// Settings say what a process is and whom it knows: its VM, its failure domain,
+// its addresses and its peers. What it should run is declared by operators and
+// read by package declarer.
+package configurer
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/inspector"
+)
+
+// Settings is the content of a settings file.
+type Settings struct {
+	VM            identifier.VM            `yaml:"vm_id" json:"vm_id"`
+	Region        identifier.Region        `yaml:"region" json:"region"`
+	FailureDomain identifier.FailureDomain `yaml:"failure_domain" json:"failure_domain"`
+	// CallersAddress is host:port for callers.
+	CallersAddress string `yaml:"callers_address" json:"callers_address"`
+	// ControlAddress is host:port for operators, backend servers and peers.
+	ControlAddress string `yaml:"control_address" json:"control_address"`
+	// DataFolder is empty on a VM without a disk.
+	DataFolder string `yaml:"data_folder" json:"data_folder"`
+	// Peers lists every entry VM, this one included.
+	Peers  []Peer  `yaml:"peers" json:"peers"`
+	Keys   Keys    `yaml:"keys" json:"-"`
+	Timing Timing  `yaml:"timing" json:"timing"`
+	Limits Limits  `yaml:"limits" json:"limits"`
+	TLS    TLS     `yaml:"tls" json:"tls"`
+	Logs   LogsSet `yaml:"logs" json:"logs"`
+}
+
+// Peer is one entry VM.
+type Peer struct {
+	VM            identifier.VM            `yaml:"vm_id" json:"vm_id"`
+	FailureDomain identifier.FailureDomain `yaml:"failure_domain" json:"failure_domain"`
+	// Address is its control address.
+	Address string `yaml:"address" json:"address"`
+	// Voter marks the VMs with a disk that start the control logs.
+	Voter bool `yaml:"voter" json:"voter"`
+}
+
+// Keys are the secrets that tell operators, backend servers and peers apart.
+type Keys struct {
+	Operator string `yaml:"operator"`
+	Backend  string `yaml:"backend"`
+	Peer     string `yaml:"peer"`
+}
+
+// TLS names the files of the listeners' certificate. All empty means plain
+// connections, which Plain has to confirm.
+type TLS struct {
+	Plain           bool   `yaml:"plain" json:"plain"`
+	CertificateFile string `yaml:"certificate_file" json:"certificate_file"`
+	KeyFile         string `yaml:"key_file" json:"key_file"`
+	AuthorityFile   string `yaml:"authority_file" json:"authority_file"`
+}
+
+// LogsSet controls logging.
+type LogsSet struct {
+	// Level is one of debug, info, warn, error.
+	Level string `yaml:"level" json:"level"`
+}
+
+// Timing holds every bound in time. Zero values take the defaults.
+type Timing struct {
+	// LogTick is the unit of the control logs' clocks.
+	LogTick time.Duration `yaml:"log_tick" json:"log_tick"`
+	// Heartbeat is the time between reports of entries and announcements of
+	// backend servers.
+	Heartbeat time.Duration `yaml:"heartbeat" json:"heartbeat"`
+	// Silence is how long a peer, backend server or connection may be silent
+	// before it counts as lost.
+	Silence time.Duration `yaml:"silence" json:"silence"`
+	// PlacementLease is how long a failure domain's placement authority lasts
+	// without renewal.
+	PlacementLease time.Duration `yaml:"placement_lease" json:"placement_lease"`
+	// OwnerLease is how long an entry may send to a group that it owns without
+	// hearing from the placement authority.
+	OwnerLease time.Duration `yaml:"owner_lease" json:"owner_lease"`
+	// OrderLife is the longest time for which an order may be under way.
+	OrderLife time.Duration `yaml:"order_life" json:"order_life"`
+	// ConfigPull is the time between two pulls of the configuration from a
+	// random peer.
+	ConfigPull time.Duration `yaml:"config_pull" json:"config_pull"`
+	// Shutdown bounds how long streams in flight may take at a stop.
+	Shutdown time.Duration `yaml:"shutdown" json:"shutdown"`
+	// FirstToken bounds the time until a backend server's first byte.
+	FirstToken time.Duration `yaml:"first_token" json:"first_token"`
+	// BetweenTokens bounds the silence within a stream.
+	BetweenTokens time.Duration `yaml:"between_tokens" json:"between_tokens"`
+	// QueueWait bounds the time that a request waits for a free place.
+	QueueWait time.Duration `yaml:"queue_wait" json:"queue_wait"`
+	// ClaimRetention is how long a finished non-idempotent request's answer is
+	// kept for resends.
+	ClaimRetention time.Duration `yaml:"claim_retention" json:"claim_retention"`
+}
+
+// Limits holds every bound in size. Zero values take the defaults.
+type Limits struct {
+	BodyBytes   int64 `yaml:"body_bytes" json:"body_bytes"`
+	QueueLength int   `yaml:"queue_length" json:"queue_length"`
+	AnswerBytes int   `yaml:"answer_bytes" json:"answer_bytes"`
+}
+
+// Default bounds.
+const (
+	defaultLogTick        = 100 * time.Millisecond
+	defaultHeartbeat      = time.Second
+	defaultSilence        = 3 * time.Second
+	defaultPlacementLease = 5 * time.Second
+	defaultOwnerLease     = 15 * time.Second
+	defaultOrderLife      = 10 * time.Second
+	defaultConfigPull     = 2 * time.Second
+	defaultShutdown       = 10 * time.Minute
+	defaultFirstToken     = 60 * time.Second
+	defaultBetweenTokens  = 30 * time.Second
+	defaultQueueWait      = 5 * time.Second
+	defaultClaimRetention = 24 * time.Hour
+	defaultBodyBytes      = 8 << 20
+	defaultQueueLength    = 1024
+	defaultAnswerBytes    = 64 << 10
+)
+
+// Load reads a settings file, fills defaults and checks everything. The error
+// is an inspector.Findings when the file is readable but wrong.
+func Load(name string) (Settings, error) {
+	var s Settings
+	d, err := inspector.Load(name, &s)
+	if err != nil {
+		return s, err
+	}
+	s.FillDefaults()
+	s.check(d)
+	return s, d.Err()
+}
+
+// FillDefaults replaces zero values by the defaults.
+func (s *Settings) FillDefaults() {
+	t := &s.Timing
+	fill(&t.LogTick, defaultLogTick)
+	fill(&t.Heartbeat, defaultHeartbeat)
+	fill(&t.Silence, defaultSilence)
+	fill(&t.PlacementLease, defaultPlacementLease)
+	fill(&t.OwnerLease, defaultOwnerLease)
+	fill(&t.OrderLife, defaultOrderLife)
+	fill(&t.ConfigPull, defaultConfigPull)
+	fill(&t.Shutdown, defaultShutdown)
+	fill(&t.FirstToken, defaultFirstToken)
+	fill(&t.BetweenTokens, defaultBetweenTokens)
+	fill(&t.QueueWait, defaultQueueWait)
+	fill(&t.ClaimRetention, defaultClaimRetention)
+	fill(&s.Limits.BodyBytes, defaultBodyBytes)
+	fill(&s.Limits.QueueLength, defaultQueueLength)
+	fill(&s.Limits.AnswerBytes, defaultAnswerBytes)
+	fill(&s.Logs.Level, "info")
+}
+
+func fill[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+func (s *Settings) check(d *inspector.Document) {
+	checkID(d, "vm_id", string(s.VM))
+	checkID(d, "region", string(s.Region))
+	checkID(d, "failure_domain", string(s.FailureDomain))
+	checkAddress(d, []string{"callers_address"}, s.CallersAddress)
+	checkAddress(d, []string{"control_address"}, s.ControlAddress)
+	s.checkPeers(d)
+	s.checkKeys(d)
+	s.checkTiming(d)
+	s.checkTLS(d)
+	switch s.Logs.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		d.Add([]string{"logs", "level"}, "level %q is not one of debug, info, warn, error", s.Logs.Level)
+	}
+}
+
+func checkID(d *inspector.Document, key, id string) {
+	if !identifier.Valid(id) {
+		d.Add([]string{key}, "%s %q is not an id: use 1 to 64 letters, digits, dots, dashes and underscores", key, id)
+	}
+}
+
+func checkAddress(d *inspector.Document, path []string, address string) {
+	host, port, err := net.SplitHostPort(address)
+	n, perr := strconv.ParseUint(port, 10, 16)
+	if err != nil || perr != nil || n == 0 || net.ParseIP(host) == nil {
+		d.Add(path, "address %q is not ip:port", address)
+	}
+}
+
+func (s *Settings) checkPeers(d *inspector.Document) {
+	seen := map[identifier.VM]bool{}
+	voters := 0
+	for i, p := range s.Peers {
+		path := []string{"peers", strconv.Itoa(i)}
+		if !identifier.Valid(string(p.VM)) || !identifier.Valid(string(p.FailureDomain)) {
+			d.Add(path, "a peer needs a vm_id and a failure_domain that are ids")
+		}
+		if seen[p.VM] {
+			d.Add(path, "vm_id %q stands twice", p.VM)
+		}
+		seen[p.VM] = true
+		checkAddress(d, append(path, "address"), p.Address)
+		if p.Voter {
+			voters++
+		}
+		if p.VM == s.VM && p.FailureDomain != s.FailureDomain {
+			d.Add(path, "this VM's failure_domain differs from the one above")
+		}
+		if p.VM == s.VM && p.Voter && s.DataFolder == "" {
+			d.Add(path, "a voter needs a data_folder")
+		}
+	}
+	if !seen[s.VM] {
+		d.Add([]string{"peers"}, "peers does not list this VM, %q", s.VM)
+	}
+	const maxVoters = 7
+	if voters == 0 || voters > maxVoters {
+		d.Add([]string{"peers"}, "there have to be 1 to %d voters, not %d", maxVoters, voters)
+	}
+}
+
+func (s *Settings) checkKeys(d *inspector.Document) {
+	const minKeyBytes = 16
+	keys := []struct{ name, key string }{
+		{"operator", s.Keys.Operator}, {"backend", s.Keys.Backend}, {"peer", s.Keys.Peer},
+	}
+	for i, k := range keys {
+		if len(k.key) < minKeyBytes {
+			d.Add([]string{"keys", k.name}, "key %s has fewer than %d characters", k.name, minKeyBytes)
+		}
+		for _, other := range keys[:i] {
+			if k.key != "" && k.key == other.key {
+				d.Add([]string{"keys", k.name}, "keys %s and %s are the same", k.name, other.name)
+			}
+		}
+	}
+}
+
+func (s *Settings) checkTiming(d *inspector.Document) {
+	t := s.Timing
+	longer := []struct {
+		name, other string
+		long, short time.Duration
+	}{
+		{"silence", "heartbeat", t.Silence, t.Heartbeat},
+		{"placement_lease", "heartbeat", t.PlacementLease, t.Heartbeat},
+		{"owner_lease", "silence", t.OwnerLease, t.Silence},
+		{"heartbeat", "zero", t.Heartbeat, 0},
+		{"log_tick", "zero", t.LogTick, 0},
+		{"order_life", "zero", t.OrderLife, 0},
+		{"config_pull", "zero", t.ConfigPull, 0},
+	}
+	for _, l := range longer {
+		if l.long <= l.short {
+			d.Add([]string{"timing", l.name}, "%s (%s) has to be longer than %s (%s)", l.name, l.long, l.other, l.short)
+		}
+	}
+}
+
+func (s *Settings) checkTLS(d *inspector.Document) {
+	t := s.TLS
+	files := t.CertificateFile != "" || t.KeyFile != "" || t.AuthorityFile != ""
+	all := t.CertificateFile != "" && t.KeyFile != "" && t.AuthorityFile != ""
+	switch {
+	case t.Plain && files:
+		d.Add([]string{"tls"}, "plain and files exclude each other")
+	case !t.Plain && !all:
+		d.Add([]string{"tls"}, "certificate_file, key_file and authority_file are needed, or plain: true")
+	}
+}
+
+// Self returns this VM's place in Peers.
+func (s *Settings) Self() Peer {
+	for _, p := range s.Peers {
+		if p.VM == s.VM {
+			return p
+		}
+	}
+	return Peer{VM: s.VM, FailureDomain: s.FailureDomain, Address: s.ControlAddress}
+}
--- /dev/null
+++ b/internal/driver/status.go
@@ -0,0 +1,50 @@
+package driver
+
+import (
+	"sync"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/replicator"
+)
+
+// Status is what a log says of itself.
+type Status struct {
+	Name     string              `json:"name"`
+	ID       replicator.NodeID   `json:"id"`
+	Role     string              `json:"role"`
+	Term     replicator.Term     `json:"term"`
+	Leader   identifier.VM       `json:"leader"`
+	Voters   []replicator.NodeID `json:"voters"`
+	First    replicator.Index    `json:"first"`
+	Last     replicator.Index    `json:"last"`
+	Commit   replicator.Index    `json:"commit"`
+	Applied  replicator.Index    `json:"applied"`
+	Probing  bool                `json:"probing"`
+	Waiting  int                 `json:"waiting"`
+	LeaderID replicator.NodeID   `json:"leader_id"`
+}
+
+type statusBox struct {
+	mu sync.Mutex
+	s  Status
+}
+
+// Status returns what the log looked like after its last step.
+func (d *Driver) Status() Status {
+	d.status.mu.Lock()
+	defer d.status.mu.Unlock()
+	return d.status.s
+}
+
+func (d *Driver) publish() {
+	n := d.node
+	s := Status{
+		Name: d.Name, ID: n.ID, Role: n.Role().String(), Term: n.Term(),
+		Leader: VMOf(n.Leader()), LeaderID: n.Leader(), Voters: n.Voters(),
+		First: n.FirstIndex(), Last: n.LastIndex(), Commit: n.Commit(),
+		Applied: d.applied, Probing: d.probing != nil, Waiting: len(d.waiting),
+	}
+	d.status.mu.Lock()
+	defer d.status.mu.Unlock()
+	d.status.s = s
+}
--- /dev/null
+++ b/internal/emulator/serve.go
@@ -0,0 +1,23 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Serve runs the server on a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	s.Mount(mux)
+	h := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
+	defer stop()
+	go s.Run(ctx)
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/journaler/record.go
@@ -0,0 +1,97 @@
+package journaler
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"trefoilhead.org/trefoilhead/internal/replicator"
+)
+
+// Layout of a record: magic, body length, checksum of the body, body. Numbers
+// are little-endian and 4 bytes long; the checksum is CRC-32C.
+const (
+	recordMagic   = 0x74726566
+	headerBytes   = 12
+	maxBodyBytes  = 256 << 20
+	checksumBytes = 4
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// record is one synced write: everything that one Save stored.
+type record struct {
+	Sequence uint64                `cbor:"sequence"`
+	State    *replicator.HardState `cbor:"state,omitempty"`
+	Entries  []replicator.Entry    `cbor:"entries,omitempty"`
+}
+
+func encodeRecord(r record) ([]byte, error) {
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	return frame(body), nil
+}
+
+// frame puts the header before body.
+func frame(body []byte) []byte {
+	b := make([]byte, headerBytes, headerBytes+len(body))
+	binary.LittleEndian.PutUint32(b[0:], recordMagic)
+	binary.LittleEndian.PutUint32(b[4:], uint32(len(body)))
+	binary.LittleEndian.PutUint32(b[8:], crc32.Checksum(body, castagnoli))
+	return append(b, body...)
+}
+
+// unframe returns the first framed body of b and the bytes after it; ok is
+// false when b does not start with a whole, intact record.
+func unframe(b []byte) (body, rest []byte, ok bool) {
+	if len(b) < headerBytes || binary.LittleEndian.Uint32(b) != recordMagic {
+		return nil, nil, false
+	}
+	n := int(binary.LittleEndian.Uint32(b[4:]))
+	if n > maxBodyBytes || len(b) < headerBytes+n {
+		return nil, nil, false
+	}
+	body = b[headerBytes : headerBytes+n]
+	if crc32.Checksum(body, castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return nil, nil, false
+	}
+	return body, b[headerBytes+n:], true
+}
+
+// decodeRecords returns the intact records at the start of b and the number of
+// bytes after them.
+func decodeRecords(b []byte) (records []record, left int) {
+	for len(b) > 0 {
+		body, rest, ok := unframe(b)
+		var r record
+		if !ok || cbor.Unmarshal(body, &r) != nil {
+			return records, len(b)
+		}
+		records = append(records, r)
+		b = rest
+	}
+	return records, 0
+}
+
+// holdsRecord reports whether an intact record starts anywhere in b after its
+// first byte. Each record is synced before the next is written, so an intact
+// record after a broken one proves that synced data was damaged.
+func holdsRecord(b []byte) bool {
+	var magic [checksumBytes]byte
+	binary.LittleEndian.PutUint32(magic[:], recordMagic)
+	for len(b) > 1 {
+		i := bytes.Index(b[1:], magic[:])
+		if i < 0 {
+			return false
+		}
+		b = b[1+i:]
+		if _, _, ok := unframe(b); ok {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,107 @@
+// Package limiter learns how many requests a replica bears at once.
+//
+// A replica that has just started is cold: it falls over under a load that it
+// carries easily an hour later. A Ramp starts at the cold limit, grows with
+// each success while the limit is in use, and falls back when failures or slow
+// first tokens show that the replica has turned cold again.
+package limiter
+
+import "time"
+
+// Ramp is the limit of one replica. Exported fields are set before use; the
+// zero value of the others is a cold replica.
+type Ramp struct {
+	// Cold is the limit after a start, Warm the limit that the operator
+	// declared. Both are numbers of concurrent requests.
+	Cold uint32
+	Warm uint32
+
+	limit float64
+	// usual is a moving average of the time to the first token.
+	usual time.Duration
+	slow  int
+}
+
+const (
+	// slowFactor times the usual first-token time counts as slow.
+	slowFactor = 4
+	// slowFloor is the first-token time below which nothing is slow.
+	slowFloor = 100 * time.Millisecond
+	// slowInARow slow answers mean that the replica is cold again.
+	slowInARow = 3
+	// usualShare is the weight of old values in the moving average.
+	usualShare = 0.9
+	// failureFactor multiplies the limit at each failure.
+	failureFactor = 0.5
+)
+
+// Limit returns the number of requests that may run now.
+func (r *Ramp) Limit() uint32 {
+	return uint32(max(r.limit, float64(min(r.Cold, r.Warm))))
+}
+
+// Restart makes the replica cold.
+func (r *Ramp) Restart() {
+	r.limit = 0
+	r.usual = 0
+	r.slow = 0
+}
+
+// Success notes a complete answer whose first token took d while running
+// requests, this one included, were on the replica. The limit doubles about
+// once per limit's worth of answers, and only while it is being used.
+func (r *Ramp) Success(d time.Duration, running uint32) {
+	if r.isSlow(d) {
+		r.slow++
+		if r.slow >= slowInARow {
+			r.Restart()
+		}
+		return
+	}
+	r.slow = 0
+	r.noteUsual(d)
+	limit := float64(r.Limit())
+	if float64(running)*2 >= limit {
+		r.limit = min(limit+1, float64(r.Warm))
+	}
+}
+
+// Failure notes a request that the replica failed or refused.
+func (r *Ramp) Failure() {
+	r.limit = float64(r.Limit()) * failureFactor
+}
+
+func (r *Ramp) isSlow(d time.Duration) bool {
+	return r.usual > 0 && d > slowFloor && d > slowFactor*r.usual
+}
+
+func (r *Ramp) noteUsual(d time.Duration) {
+	if r.usual == 0 {
+		r.usual = d
+		return
+	}
+	r.usual = time.Duration(usualShare*float64(r.usual) + (1-usualShare)*float64(d))
+}
+
+// Budget bounds retries to a share of the requests, so that a failing service
+// is not flooded. Its zero value allows Burst retries at first.
+type Budget struct {
+	// Share is the number of retries earned by each request.
+	Share float64
+	// Burst is the greatest number of retries saved up.
+	Burst float64
+
+	spent float64
+}
+
+// Request notes a first try.
+func (b *Budget) Request() { b.spent = max(0, b.spent-b.Share) }
+
+// Retry reports whether one more retry is allowed, and takes it.
+func (b *Budget) Retry() bool {
+	if b.spent+1 > b.Burst {
+		return false
+	}
+	b.spent++
+	return true
+}
--- /dev/null
+++ b/internal/locator/locator.go
@@ -0,0 +1,345 @@
+// Package locator holds what one entry process knows of where services run:
+// its own failure domain's groups, digests of the other domains, and the
+// configuration.
+package locator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/declarer"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/recorder"
+	"trefoilhead.org/trefoilhead/internal/router"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+)
+
+// Locator is safe for concurrent use. Exported fields are set before use.
+type Locator struct {
+	VM     identifier.VM
+	Domain identifier.FailureDomain
+	// OwnerLease is how long this entry may send to its groups after the
+	// authority's last word.
+	OwnerLease time.Duration
+	// OwnerDoubt is the time after which an owner without word from the
+	// authority uses half its limits, since another may have been appointed.
+	OwnerDoubt time.Duration
+	// DigestAge is how old a digest may be before its domain counts as cut off.
+	DigestAge time.Duration
+
+	mu      sync.RWMutex
+	view    *peerv1.PlacementView
+	groups  map[identifier.Group]*peerv1.GroupView
+	heard   time.Time
+	digests map[identifier.FailureDomain]digest
+	config  recorder.View
+	teams   map[string]declarer.Team
+	service map[identifier.Service]declarer.Service
+	// owned notes when this entry became owner of each group.
+	owned map[identifier.Group]time.Time
+	// started is when the first view arrived.
+	started time.Time
+}
+
+type digest struct {
+	d     *peerv1.Digest
+	heard time.Time
+}
+
+// SetConfig takes over a configuration.
+func (l *Locator) SetConfig(v recorder.View) {
+	teams := map[string]declarer.Team{}
+	for _, t := range v.Teams() {
+		teams[t.KeySHA256] = t
+	}
+	services := map[identifier.Service]declarer.Service{}
+	for _, s := range v.Services() {
+		services[s.ID] = s
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.config, l.teams, l.service = v, teams, services
+}
+
+// SetView takes the authority's answer to a report that was sent at asked.
+// Counting the lease from then makes it end here before the authority thinks
+// so.
+func (l *Locator) SetView(asked time.Time, v *peerv1.PlacementView) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = asked
+	if l.started.IsZero() {
+		l.started = asked
+	}
+	for _, d := range v.GetDigests() {
+		l.setDigest(asked, d)
+	}
+	if !v.GetFull() {
+		return
+	}
+	l.view = v
+	l.groups = map[identifier.Group]*peerv1.GroupView{}
+	owned := map[identifier.Group]time.Time{}
+	for _, g := range v.GetGroups() {
+		id := identifier.Group(g.GetId())
+		l.groups[id] = g
+		if identifier.VM(g.GetOwner()) != l.VM {
+			continue
+		}
+		since, ok := l.owned[id]
+		if !ok {
+			since = asked
+		}
+		owned[id] = since
+	}
+	l.owned = owned
+}
+
+// SetDigest takes another domain's digest.
+func (l *Locator) SetDigest(now time.Time, d *peerv1.Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setDigest(now, d)
+}
+
+func (l *Locator) setDigest(now time.Time, d *peerv1.Digest) {
+	id := identifier.FailureDomain(d.GetFailureDomain())
+	if id == l.Domain {
+		return
+	}
+	old := l.digests[id].d
+	if old != nil && (d.GetEpoch() < old.GetEpoch() || d.GetEpoch() == old.GetEpoch() && d.GetSequence() <= old.GetSequence()) {
+		return
+	}
+	if l.digests == nil {
+		l.digests = map[identifier.FailureDomain]digest{}
+	}
+	l.digests[id] = digest{d: d, heard: now}
+}
+
+// Digests returns the digests that are fresh, for passing on.
+func (l *Locator) Digests(now time.Time) []*peerv1.Digest {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var all []*peerv1.Digest
+	for _, d := range l.digests {
+		if now.Sub(d.heard) <= l.DigestAge {
+			all = append(all, d.d)
+		}
+	}
+	return all
+}
+
+// View returns the present placement view, or nil, and its age.
+func (l *Locator) View(now time.Time) (*peerv1.PlacementView, time.Duration) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.view, now.Sub(l.heard)
+}
+
+// Revision returns the configuration's revision.
+func (l *Locator) Revision() identifier.Revision {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.config.Revision
+}
+
+// Team returns the team that an API key belongs to.
+func (l *Locator) Team(apiKey string) (declarer.Team, bool) {
+	sum := sha256.Sum256([]byte(apiKey))
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	t, ok := l.teams[hex.EncodeToString(sum[:])]
+	return t, ok
+}
+
+// Service returns a declared service.
+func (l *Locator) Service(id identifier.Service) (declarer.Service, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	s, ok := l.service[id]
+	return s, ok
+}
+
+// Services returns the ids of all declared services, sorted.
+func (l *Locator) Services() []identifier.Service {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var ids []identifier.Service
+	for id := range l.service {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// DomainDrained reports whether operators have taken a domain out.
+func (l *Locator) DomainDrained(d identifier.FailureDomain) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.domainDrained(d)
+}
+
+func (l *Locator) domainDrained(d identifier.FailureDomain) bool {
+	return l.config.Drained(recorder.Drain{Kind: recorder.DrainFailureDomain, ID: string(d)})
+}
+
+// EntryDrained reports whether operators have taken this entry VM out.
+func (l *Locator) EntryDrained() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.config.Drained(recorder.Drain{Kind: recorder.DrainEntryVM, ID: string(l.VM)})
+}
+
+// Candidates returns the local domain's serving groups of a service, but for
+// those already tried. The Sent counts are left to the caller.
+func (l *Locator) Candidates(s identifier.Service, tried map[identifier.Group]bool) []router.Candidate {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var cs []router.Candidate
+	for id, g := range l.groups {
+		if identifier.Service(g.GetService()) != s || !g.GetServing() || tried[id] || g.GetOwner() == "" {
+			continue
+		}
+		if l.backendDrained(g) {
+			continue
+		}
+		cs = append(cs, router.Candidate{
+			Group: id, Owner: identifier.VM(g.GetOwner()), Running: g.GetRunning(), Limit: g.GetLimit(),
+		})
+	}
+	slices.SortFunc(cs, func(a, b router.Candidate) int {
+		if a.Group < b.Group {
+			return -1
+		}
+		return 1
+	})
+	return cs
+}
+
+// backendDrained reports whether a member is taken out in a configuration that
+// the authority may not know yet.
+func (l *Locator) backendDrained(g *peerv1.GroupView) bool {
+	for _, vm := range g.GetMembers() {
+		if l.config.Drained(recorder.Drain{Kind: recorder.DrainBackendServer, ID: vm}) {
+			return true
+		}
+	}
+	return false
+}
+
+// Domains returns what is known of each domain for a service.
+func (l *Locator) Domains(now time.Time, s identifier.Service) []router.DomainLoad {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	local := router.DomainLoad{Domain: l.Domain, Drained: l.domainDrained(l.Domain)}
+	for _, g := range l.groups {
+		if identifier.Service(g.GetService()) == s && g.GetServing() && !l.backendDrained(g) {
+			local.Serving++
+			local.Running += g.GetRunning()
+			local.Limit += g.GetLimit()
+		}
+	}
+	all := []router.DomainLoad{local}
+	for id, d := range l.digests {
+		all = append(all, remoteLoad(id, d.d, s, now.Sub(d.heard) > l.DigestAge, l.domainDrained(id)))
+	}
+	slices.SortFunc(all, func(a, b router.DomainLoad) int {
+		if a.Domain < b.Domain {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func remoteLoad(id identifier.FailureDomain, d *peerv1.Digest, s identifier.Service, stale, drained bool) router.DomainLoad {
+	load := router.DomainLoad{Domain: id, Stale: stale, Drained: drained}
+	for _, sd := range d.GetServices() {
+		if identifier.Service(sd.GetService()) == s {
+			load.Serving, load.Running, load.Limit = sd.GetServing(), sd.GetRunning(), sd.GetLimit()
+		}
+	}
+	return load
+}
+
+// Entries returns the live entry VMs of a domain, this one left out.
+func (l *Locator) Entries(d identifier.FailureDomain) []identifier.VM {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	list := l.view.GetEntries()
+	if d != l.Domain {
+		list = l.digests[d].d.GetEntries()
+	}
+	var vms []identifier.VM
+	for _, e := range list {
+		if identifier.VM(e.GetVmId()) != l.VM {
+			vms = append(vms, identifier.VM(e.GetVmId()))
+		}
+	}
+	return vms
+}
+
+// Hold is this entry's right to send to a group.
+type Hold int
+
+// Holds.
+const (
+	// NoHold means that this entry does not own the group, or not any more.
+	NoHold Hold = iota
+	// HalfHold allows half the limit: another owner may have the other half.
+	HalfHold
+	// FullHold allows the whole limit.
+	FullHold
+)
+
+// Owned returns a group and this entry's right to send to it. The right
+// shrinks while the authority is silent and grows back one lease after a
+// takeover, so that the old owner's and the new owner's limits never add up to
+// more than the group's.
+func (l *Locator) Owned(now time.Time, id identifier.Group) (*peerv1.GroupView, Hold) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	g := l.groups[id]
+	since, owned := l.owned[id]
+	silent := now.Sub(l.heard)
+	switch {
+	case g == nil || !owned || silent > l.OwnerLease:
+		return g, NoHold
+	case silent > l.OwnerDoubt, now.Sub(since) < l.OwnerLease && !g.GetFirstOwner():
+		return g, HalfHold
+	}
+	return g, FullHold
+}
+
+// OwnedGroups returns the groups that this entry owns, for reports.
+func (l *Locator) OwnedGroups() []*peerv1.GroupView {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var all []*peerv1.GroupView
+	for id := range l.owned {
+		all = append(all, l.groups[id])
+	}
+	slices.SortFunc(all, func(a, b *peerv1.GroupView) int {
+		if a.GetId() < b.GetId() {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// OwnerOf returns the owner of the group that a backend server is in.
+func (l *Locator) OwnerOf(vm identifier.VM) identifier.VM {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, g := range l.groups {
+		if slices.Contains(g.GetMembers(), string(vm)) {
+			return identifier.VM(g.GetOwner())
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/placer/former.go
@@ -0,0 +1,315 @@
+package placer
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// fulfil brings one service towards its declared replicas.
+func (p *Placer) fulfil(now time.Time, w Want) {
+	current, outdated := p.counted(w)
+	for len(current)+len(outdated) < w.Replicas {
+		g := p.form(now, w)
+		if g == nil {
+			p.preempt(w)
+			return
+		}
+		current = append(current, g)
+	}
+	if extra := len(current) + len(outdated) - w.Replicas; extra > 0 {
+		p.drainExtra(append(slices.Clone(outdated), current...), extra)
+		return
+	}
+	p.rollOut(now, w, outdated)
+}
+
+// counted returns the service's groups that serve or will, split by whether
+// they run the declared model and version.
+func (p *Placer) counted(w Want) (current, outdated []*group) {
+	for _, g := range p.sortedGroups() {
+		if g.info.Service != w.Service || g.info.State != Forming && g.info.State != Serving {
+			continue
+		}
+		g.info.Concurrency, g.info.ColdConcurrency = w.Concurrency, w.ColdConcurrency
+		if g.info.Model == w.Model && g.info.Version == w.Version && slices.Equal(g.info.Adapters, w.Adapters) {
+			current = append(current, g)
+		} else {
+			outdated = append(outdated, g)
+		}
+	}
+	return current, outdated
+}
+
+// drainExtra stops groups that are not needed, those that do not serve yet
+// first.
+func (p *Placer) drainExtra(groups []*group, extra int) {
+	slices.SortStableFunc(groups, func(a, b *group) int {
+		return cmp.Compare(boolRank(a.info.State == Serving), boolRank(b.info.State == Serving))
+	})
+	for _, g := range groups[:extra] {
+		p.drain(g, "more replicas than declared")
+	}
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// rollOut replaces outdated groups one at a time. A new group is formed beside
+// the old ones when VMs are free; otherwise one old group is stopped, and only
+// while every other group serves.
+func (p *Placer) rollOut(now time.Time, w Want, outdated []*group) {
+	if len(outdated) == 0 || p.inTransition(w) {
+		return
+	}
+	if p.form(now, w) == nil {
+		p.drain(outdated[0], "replaced by version "+w.Version)
+	}
+}
+
+// inTransition reports whether any group of the service is not serving.
+func (p *Placer) inTransition(w Want) bool {
+	for _, g := range p.groups {
+		if g.info.Service == w.Service && g.info.State != Serving {
+			return true
+		}
+	}
+	return false
+}
+
+// drainUnwanted stops the groups of services that are no longer declared.
+func (p *Placer) drainUnwanted(time.Time) {
+	for _, g := range p.sortedGroups() {
+		if _, ok := p.want(g.info.Service); !ok && (g.info.State == Serving || g.info.State == Forming) {
+			p.drain(g, "the service is not declared")
+		}
+	}
+}
+
+// form starts one group of w, or returns nil when no fabric domain has enough
+// free VMs.
+func (p *Placer) form(now time.Time, w Want) *group {
+	chosen := p.choose(now, w)
+	if chosen == nil {
+		return nil
+	}
+	fence := p.nextFence()
+	g := &group{want: w, since: now}
+	g.info = GroupInfo{
+		ID: identifier.NewGroup(w.Service, p.Domain, fence), Service: w.Service,
+		FabricDomain: chosen[0].server.FabricDomain, Fence: fence, Model: w.Model,
+		Version: w.Version, Adapters: w.Adapters, State: Forming, Reason: "joining",
+		Address: chosen[0].server.Address, Concurrency: w.Concurrency, ColdConcurrency: w.ColdConcurrency,
+	}
+	var addresses []string
+	for _, m := range chosen {
+		g.members = append(g.members, member{vm: m.server.VM, incarnation: m.server.Incarnation})
+		g.info.Members = append(g.info.Members, m.server.VM)
+		addresses = append(addresses, m.server.Address)
+	}
+	for rank, m := range chosen {
+		m.group = g.info.ID
+		p.send(now, m, Order{
+			Fence: fence, Action: Join, Group: g.info.ID, Members: g.info.Members, Addresses: addresses,
+			Rank: rank, Model: w.Model, Version: w.Version, Adapters: w.Adapters,
+		})
+	}
+	p.groups[g.info.ID] = g
+	return g
+}
+
+// choose picks the VMs for a group of w from the fabric domain that suits
+// best: most weights already there, then fewest groups of the service, then
+// fewest VMs left over.
+func (p *Placer) choose(now time.Time, w Want) []*machine {
+	free := map[identifier.FabricDomain][]*machine{}
+	for _, m := range p.sortedMachines() {
+		if p.busy(now, m) == "" && m.server.Accelerators >= w.Accelerators {
+			free[m.server.FabricDomain] = append(free[m.server.FabricDomain], m)
+		}
+	}
+	var best []*machine
+	var bestScore score
+	for fabric, ms := range free {
+		if len(ms) < w.VMs {
+			continue
+		}
+		slices.SortStableFunc(ms, func(a, b *machine) int {
+			return cmp.Or(cmp.Compare(boolRank(b.holds(w)), boolRank(a.holds(w))),
+				cmp.Compare(a.server.Accelerators, b.server.Accelerators))
+		})
+		s := p.score(w, fabric, ms)
+		if best == nil || s.compare(bestScore) < 0 {
+			best, bestScore = ms[:w.VMs], s
+		}
+	}
+	return best
+}
+
+// holds reports whether the VM has the weights of w already.
+func (m *machine) holds(w Want) bool {
+	return m.server.Model == w.Model && m.server.Version == w.Version
+}
+
+// score ranks fabric domains; the lower one is better.
+type score struct {
+	unloaded int
+	groups   int
+	left     int
+	fabric   identifier.FabricDomain
+}
+
+func (p *Placer) score(w Want, fabric identifier.FabricDomain, ms []*machine) score {
+	s := score{left: (len(ms) - w.VMs) % w.VMs, fabric: fabric}
+	for _, m := range ms[:w.VMs] {
+		s.unloaded += boolRank(!m.holds(w))
+	}
+	for _, g := range p.groups {
+		if g.info.Service == w.Service && g.info.FabricDomain == fabric {
+			s.groups++
+		}
+	}
+	return s
+}
+
+func (s score) compare(o score) int {
+	return cmp.Or(cmp.Compare(s.unloaded, o.unloaded), cmp.Compare(s.groups, o.groups),
+		cmp.Compare(s.left, o.left), strings.Compare(string(s.fabric), string(o.fabric)))
+}
+
+// busy returns why a VM cannot join a group now, or an empty string.
+func (p *Placer) busy(now time.Time, m *machine) string {
+	s := m.server
+	switch {
+	case s.Kind != KindEngine:
+		return "serves a plain service"
+	case m.lost:
+		return "silent"
+	case p.drained[s.VM]:
+		return "taken out by operators"
+	case m.group != "":
+		return fmt.Sprintf("in group %s", m.group)
+	case m.pending != nil:
+		return fmt.Sprintf("waits for the answer to a %s order", m.pending.Action)
+	case s.Group != "":
+		return fmt.Sprintf("still says that it is in group %s", s.Group)
+	case s.State != EngineIdle:
+		return fmt.Sprintf("its engine is %s", s.State)
+	case now.Before(m.unsettled):
+		return fmt.Sprintf("an earlier order may arrive for another %s", m.unsettled.Sub(now).Round(time.Second))
+	case now.Before(m.held):
+		return fmt.Sprintf("held for another %s after %d losses", m.held.Sub(now).Round(time.Second), m.flaps)
+	}
+	return ""
+}
+
+// preempt drains one group of the least important service below w's priority,
+// if its VMs could serve w and none is draining already.
+func (p *Placer) preempt(w Want) {
+	var victim *group
+	for _, g := range p.sortedGroups() {
+		if g.info.State == Draining || g.info.State == Releasing {
+			return
+		}
+		if g.want.Plain || len(g.members) < w.VMs || g.want.Priority >= w.Priority {
+			continue
+		}
+		if victim == nil || g.want.Priority < victim.want.Priority {
+			victim = g
+		}
+	}
+	if victim != nil {
+		p.drain(victim, fmt.Sprintf("makes room for %s", w.Service))
+	}
+}
+
+// assignOwners gives each group an entry VM. A group keeps its owner while
+// that lives.
+func (p *Placer) assignOwners() {
+	if len(p.entries) == 0 {
+		return
+	}
+	for _, g := range p.groups {
+		if !slices.Contains(p.entries, g.info.Owner) {
+			g.info.FirstOwner = g.info.Owner == "" && !g.adopted
+			g.info.Owner = rendezvous(g.info.ID, p.entries)
+		}
+	}
+}
+
+// rendezvous returns the entry with the highest hash of group and entry, so
+// that the loss of one entry moves only its own groups.
+func rendezvous(id identifier.Group, entries []identifier.VM) identifier.VM {
+	var best identifier.VM
+	var bestHash uint64
+	for _, e := range entries {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(id))
+		_, _ = h.Write([]byte(e))
+		if sum := mix(h.Sum64()); best == "" || sum > bestHash {
+			best, bestHash = e, sum
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of an FNV hash, whose last bytes barely reach its top.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Groups returns every group, sorted by id.
+func (p *Placer) Groups() []GroupInfo {
+	var all []GroupInfo
+	for _, g := range p.sortedGroups() {
+		all = append(all, g.info)
+	}
+	return all
+}
+
+// Stranded returns every engine VM that is in no serving group, and why.
+func (p *Placer) Stranded(now time.Time) []Stranded {
+	var all []Stranded
+	for _, m := range p.sortedMachines() {
+		if m.server.Kind != KindEngine {
+			continue
+		}
+		g := p.groups[m.group]
+		if g != nil && g.info.State == Serving {
+			continue
+		}
+		reason := p.busy(now, m)
+		if g != nil {
+			reason = fmt.Sprintf("group %s is %s: %s", g.info.ID, g.info.State, g.info.Reason)
+		}
+		if reason == "" {
+			reason = "free: no service needs it"
+		}
+		all = append(all, Stranded{VM: m.server.VM, Accelerators: m.server.Accelerators, Reason: reason})
+	}
+	return all
+}
+
+// Silent returns the VMs that count as lost, sorted.
+func (p *Placer) Silent() []identifier.VM {
+	var all []identifier.VM
+	for _, m := range p.sortedMachines() {
+		if m.lost {
+			all = append(all, m.server.VM)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,323 @@
+package placer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// Placer is the state of one failure domain's placement. Exported fields are
+// set before Begin.
+type Placer struct {
+	Domain identifier.FailureDomain
+	Policy Policy
+
+	epoch   identifier.Epoch
+	orders  uint32
+	learned time.Time
+	adopted bool
+	vms     map[identifier.VM]*machine
+	groups  map[identifier.Group]*group
+	wants   []Want
+	drained map[identifier.VM]bool
+	// loads is the number of running requests for each group, as owners tell.
+	loads   map[identifier.Group]uint32
+	entries []identifier.VM
+	out     []Order
+}
+
+// machine is what is known of one VM with an engine or plain service.
+type machine struct {
+	server Server
+	lost   bool
+	lostAt time.Time
+	group  identifier.Group
+	// pending is the order that has no answer yet.
+	pending *Order
+	// orderedAt is when the pending order was sent.
+	orderedAt time.Time
+	// unsettled is the time until which an earlier order may still arrive.
+	unsettled time.Time
+	held      time.Time
+	flaps     int
+	flapAt    time.Time
+}
+
+type group struct {
+	info    GroupInfo
+	want    Want
+	members []member
+	since   time.Time
+	// missing is when the first missing member was noticed; zero when whole.
+	missing time.Time
+	ready   bool
+	// adopted groups may have had an owner under the earlier authority.
+	adopted bool
+}
+
+type member struct {
+	vm          identifier.VM
+	incarnation identifier.Incarnation
+	// joined is set when the join order was accepted, answered when the fate
+	// of some order to this member is known.
+	joined   bool
+	answered bool
+}
+
+// Begin starts a term as authority with nothing known but the epoch.
+func (p *Placer) Begin(now time.Time, e identifier.Epoch) {
+	p.Policy.FillDefaults()
+	p.epoch, p.orders = e, 0
+	p.learned = now.Add(p.Policy.Learning)
+	p.adopted = false
+	p.vms = map[identifier.VM]*machine{}
+	p.groups = map[identifier.Group]*group{}
+	p.loads = map[identifier.Group]uint32{}
+	p.drained = map[identifier.VM]bool{}
+	p.out = nil
+}
+
+// SetEpoch raises the epoch of later orders, after the lease was won anew.
+func (p *Placer) SetEpoch(e identifier.Epoch) {
+	if e > p.epoch {
+		p.epoch, p.orders = e, 0
+	}
+}
+
+// SetWants replaces the declared services.
+func (p *Placer) SetWants(wants []Want) {
+	p.wants = slices.Clone(wants)
+	slices.SortStableFunc(p.wants, func(a, b Want) int { return b.Priority - a.Priority })
+}
+
+// SetDrained replaces the set of backend servers that operators have taken out.
+func (p *Placer) SetDrained(vms map[identifier.VM]bool) { p.drained = vms }
+
+// SetEntries replaces the list of entry VMs that may own groups.
+func (p *Placer) SetEntries(entries []identifier.VM) { p.entries = entries }
+
+// SetLoads replaces the counts of running requests for each group.
+func (p *Placer) SetLoads(loads map[identifier.Group]uint32) { p.loads = loads }
+
+// Heard takes an announcement.
+func (p *Placer) Heard(now time.Time, s Server) {
+	m := p.vms[s.VM]
+	if m == nil {
+		m = &machine{}
+		if !s.HonoursFencing {
+			// An earlier authority's order may be under way.
+			m.unsettled = p.learned.Add(p.Policy.OrderLife - p.Policy.Learning)
+		}
+		p.vms[s.VM] = m
+	}
+	if s.Incarnation < m.server.Incarnation {
+		return
+	}
+	if s.Incarnation == m.server.Incarnation && s.Sequence < m.server.Sequence {
+		return
+	}
+	if m.lost {
+		p.noteReturn(now, m)
+	}
+	if s.Incarnation > m.server.Incarnation && m.pending != nil {
+		p.settle(m, Reply{Order: *m.pending})
+	}
+	m.server = s
+}
+
+// Lost tells that no entry has heard from a VM within the silence bound.
+func (p *Placer) Lost(now time.Time, vm identifier.VM) {
+	if m := p.vms[vm]; m != nil && !m.lost {
+		m.lost, m.lostAt = true, now
+	}
+}
+
+// noteReturn holds a VM back that keeps being lost.
+func (p *Placer) noteReturn(now time.Time, m *machine) {
+	m.lost = false
+	for m.flaps > 0 && now.Sub(m.flapAt) > p.Policy.FlapMemory {
+		m.flaps--
+		m.flapAt = m.flapAt.Add(p.Policy.FlapMemory)
+	}
+	hold := min(p.Policy.FlapHold<<min(m.flaps, 10), p.Policy.FlapHoldLimit)
+	m.flaps++
+	m.flapAt = now
+	m.held = now.Add(hold)
+}
+
+// OrderEnded takes the end of an order that Step returned.
+func (p *Placer) OrderEnded(now time.Time, r Reply) {
+	m := p.vms[r.Order.VM]
+	if m == nil || m.pending == nil || m.pending.Fence != r.Order.Fence {
+		return
+	}
+	p.settle(m, r)
+	g := p.groups[r.Order.Group]
+	if g == nil {
+		return
+	}
+	mb := g.member(r.Order.VM)
+	if mb != nil && r.Answered {
+		mb.answered = true
+	}
+	if r.Order.Action != Join {
+		return
+	}
+	if !r.Accepted {
+		reason := r.Reason
+		if !r.Answered {
+			reason = "no answer to the join order"
+		}
+		p.breakGroup(now, g, string(r.Order.VM)+": "+reason)
+		return
+	}
+	if mb != nil {
+		mb.joined = true
+	}
+}
+
+func (g *group) member(vm identifier.VM) *member {
+	for i := range g.members {
+		if g.members[i].vm == vm {
+			return &g.members[i]
+		}
+	}
+	return nil
+}
+
+// settle ends the pending order of m and notes how long it may still arrive.
+func (p *Placer) settle(m *machine, r Reply) {
+	late := !r.Answered || r.Order.Action == Join
+	if late && !m.server.HonoursFencing {
+		m.unsettled = later(m.unsettled, m.orderedAt.Add(p.Policy.OrderLife))
+	}
+	m.pending = nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Step decides and returns the orders to send now.
+func (p *Placer) Step(now time.Time) []Order {
+	if now.Before(p.learned) {
+		return nil
+	}
+	if !p.adopted {
+		p.adopt(now)
+		p.adopted = true
+	}
+	p.expireOrders(now)
+	for _, g := range p.sortedGroups() {
+		if !g.want.Plain {
+			p.stepGroup(now, g)
+		}
+	}
+	p.releaseStrays(now)
+	p.stepPlain(now)
+	for _, w := range p.wants {
+		if !w.Plain {
+			p.fulfil(now, w)
+		}
+	}
+	p.drainUnwanted(now)
+	p.assignOwners()
+	out := p.out
+	p.out = nil
+	return out
+}
+
+// adopt takes over the groups that engines say they are in.
+func (p *Placer) adopt(now time.Time) {
+	for _, m := range p.sortedMachines() {
+		s := m.server
+		if s.Kind != KindEngine || s.Group == "" || p.groups[s.Group] != nil {
+			continue
+		}
+		p.adoptGroup(now, s)
+	}
+}
+
+func (p *Placer) adoptGroup(now time.Time, s Server) {
+	g := &group{since: now, adopted: true}
+	for _, vm := range s.GroupMembers {
+		m := p.vms[vm]
+		if m == nil || m.server.Group != s.Group || m.server.GroupFence != s.GroupFence {
+			// Not whole: releaseStrays sends its members away.
+			return
+		}
+		g.members = append(g.members, member{vm: vm, incarnation: m.server.Incarnation, joined: true, answered: true})
+	}
+	if len(g.members) == 0 {
+		return
+	}
+	w, _ := p.want(s.Group.Service())
+	g.want = w
+	g.info = GroupInfo{
+		ID: s.Group, Service: s.Group.Service(), FabricDomain: s.FabricDomain,
+		Members: s.GroupMembers, Fence: s.GroupFence, Model: s.Model, Version: s.Version,
+		Adapters: s.Adapters, State: Forming, Reason: "taken over from the earlier authority",
+		Address: p.vms[g.members[0].vm].server.Address, Concurrency: w.Concurrency,
+		ColdConcurrency: w.ColdConcurrency,
+	}
+	for _, mb := range g.members {
+		p.vms[mb.vm].group = s.Group
+	}
+	p.groups[s.Group] = g
+}
+
+func (p *Placer) want(s identifier.Service) (Want, bool) {
+	for _, w := range p.wants {
+		if w.Service == s {
+			return w, true
+		}
+	}
+	return Want{}, false
+}
+
+// expireOrders gives up orders that were not answered in time.
+func (p *Placer) expireOrders(now time.Time) {
+	for _, m := range p.sortedMachines() {
+		if m.pending != nil && now.Sub(m.orderedAt) > p.Policy.JoinBound {
+			p.OrderEnded(now, Reply{Order: *m.pending})
+		}
+	}
+}
+
+func (p *Placer) sortedGroups() []*group {
+	gs := make([]*group, 0, len(p.groups))
+	for _, g := range p.groups {
+		gs = append(gs, g)
+	}
+	slices.SortFunc(gs, func(a, b *group) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
+	return gs
+}
+
+func (p *Placer) sortedMachines() []*machine {
+	ms := make([]*machine, 0, len(p.vms))
+	for _, m := range p.vms {
+		ms = append(ms, m)
+	}
+	slices.SortFunc(ms, func(a, b *machine) int { return strings.Compare(string(a.server.VM), string(b.server.VM)) })
+	return ms
+}
+
+// send queues an order for m.
+func (p *Placer) send(now time.Time, m *machine, o Order) {
+	o.VM, o.Address, o.Incarnation = m.server.VM, m.server.Address, m.server.Incarnation
+	if o.Fence == 0 {
+		o.Fence = p.nextFence()
+	}
+	m.pending, m.orderedAt = &o, now
+	p.out = append(p.out, o)
+}
+
+func (p *Placer) nextFence() identifier.Fence {
+	p.orders++
+	return identifier.NewFence(p.epoch, p.orders)
+}
--- /dev/null
+++ b/internal/placer/types.go
@@ -0,0 +1,213 @@
+// Package placer decides which VMs of one failure domain form which replica
+// groups.
+//
+// It is a core without input or output. The placement authority feeds it with
+// what entries heard from backend servers, with the declared services and with
+// the answers to orders; each Step returns the orders to send now. The rules
+// that it keeps:
+//
+//   - A group serves only while every member is heard from, runs in the
+//     incarnation that joined, and says itself that it is in the group.
+//   - A VM gets a join order only when it says that it is in no group and no
+//     earlier join order can still reach it. Engines that honour fencing
+//     numbers refuse late orders; for the others the placer waits until the
+//     longest life of an order has passed.
+//   - A planned stop sends leave orders only after the last request has ended.
+package placer
+
+import (
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// KindEngine is the kind of a backend server that runs models; every other
+// kind is the id of a plain service.
+const KindEngine = "engine"
+
+// EngineState is what an engine says of its part in a group.
+type EngineState string
+
+// Engine states.
+const (
+	EngineIdle    EngineState = "idle"
+	EngineLoading EngineState = "loading"
+	EngineReady   EngineState = "ready"
+	EngineLeaving EngineState = "leaving"
+)
+
+// Server is what a backend server announced.
+type Server struct {
+	VM             identifier.VM
+	FabricDomain   identifier.FabricDomain
+	Accelerators   uint32
+	Kind           string
+	Incarnation    identifier.Incarnation
+	HonoursFencing bool
+	Address        string
+	Group          identifier.Group
+	GroupFence     identifier.Fence
+	GroupMembers   []identifier.VM
+	State          EngineState
+	Model          string
+	Version        string
+	Adapters       []string
+	Concurrency    uint32
+	HighestFence   identifier.Fence
+	// Sequence orders what one incarnation said.
+	Sequence uint64
+}
+
+// Want is a declared service as far as one failure domain is concerned.
+type Want struct {
+	Service         identifier.Service
+	Plain           bool
+	Model           string
+	Version         string
+	Adapters        []string
+	Replicas        int
+	VMs             int
+	Accelerators    uint32
+	Priority        int
+	Concurrency     uint32
+	ColdConcurrency uint32
+}
+
+// Action is what an order tells an engine to do.
+type Action string
+
+// Actions of orders.
+const (
+	Join  Action = "join"
+	Leave Action = "leave"
+)
+
+// Order is one message to an engine.
+type Order struct {
+	Fence       identifier.Fence
+	VM          identifier.VM
+	Address     string
+	Incarnation identifier.Incarnation
+	Action      Action
+	Group       identifier.Group
+	Members     []identifier.VM
+	Addresses   []string
+	Rank        int
+	Model       string
+	Version     string
+	Adapters    []string
+}
+
+// Reply is the end of an order. Answered is false when no answer came, so that
+// the order may have been carried out or may yet be.
+type Reply struct {
+	Order    Order
+	Answered bool
+	Accepted bool
+	Reason   string
+}
+
+// GroupState is where a group is in its life.
+type GroupState string
+
+// Group states.
+const (
+	// Forming groups wait for their members to load the model.
+	Forming GroupState = "forming"
+	// Serving groups take requests.
+	Serving GroupState = "serving"
+	// Suspended groups miss members that may come back as they were.
+	Suspended GroupState = "suspended"
+	// Draining groups finish their requests before their members leave.
+	Draining GroupState = "draining"
+	// Releasing groups wait until every member has left or died.
+	Releasing GroupState = "releasing"
+)
+
+// GroupInfo describes a group for routing and for operators.
+type GroupInfo struct {
+	ID           identifier.Group
+	Service      identifier.Service
+	FabricDomain identifier.FabricDomain
+	Members      []identifier.VM
+	Address      string
+	State        GroupState
+	Reason       string
+	Fence        identifier.Fence
+	Model        string
+	Version      string
+	Adapters     []string
+	Owner        identifier.VM
+	// FirstOwner is true while no other entry has owned the group.
+	FirstOwner      bool
+	Concurrency     uint32
+	ColdConcurrency uint32
+	// Incarnation changes whenever the group starts anew, so that its load
+	// has to be ramped up again.
+	Incarnation identifier.Incarnation
+}
+
+// Stranded describes a VM that works in no group.
+type Stranded struct {
+	VM           identifier.VM
+	Accelerators uint32
+	Reason       string
+}
+
+// Policy holds the placer's choices. Zero values take the defaults.
+type Policy struct {
+	// OrderLife is the longest time for which an order may be under way.
+	OrderLife time.Duration
+	// Learning is how long a new authority listens before it decides.
+	Learning time.Duration
+	// Grace is how long a group that misses some members waits for them
+	// before it is rebuilt.
+	Grace time.Duration
+	// DarkGrace is the same for a group that misses all its members.
+	DarkGrace time.Duration
+	// FlapHold is the first hold of a VM that was lost and came back; it
+	// doubles with each loss up to FlapHoldLimit.
+	FlapHold      time.Duration
+	FlapHoldLimit time.Duration
+	// FlapMemory is the time after which one earlier loss is forgotten.
+	FlapMemory time.Duration
+	// JoinBound is how long members may take to answer a join order.
+	JoinBound time.Duration
+	// LoadBound is how long a group may take to become ready.
+	LoadBound time.Duration
+}
+
+// Default policy.
+const (
+	defaultOrderLife     = 10 * time.Second
+	defaultLearning      = 5 * time.Second
+	defaultGrace         = 2 * time.Second
+	defaultDarkGrace     = 10 * time.Minute
+	defaultFlapHold      = 10 * time.Second
+	defaultFlapHoldLimit = 5 * time.Minute
+	defaultFlapMemory    = 10 * time.Minute
+	defaultJoinBound     = 5 * time.Second
+	defaultLoadBound     = 20 * time.Minute
+)
+
+// FillDefaults replaces zero values by the defaults.
+func (p *Policy) FillDefaults() {
+	for _, f := range []struct {
+		v   *time.Duration
+		def time.Duration
+	}{
+		{&p.OrderLife, defaultOrderLife},
+		{&p.Learning, defaultLearning},
+		{&p.Grace, defaultGrace},
+		{&p.DarkGrace, defaultDarkGrace},
+		{&p.FlapHold, defaultFlapHold},
+		{&p.FlapHoldLimit, defaultFlapHoldLimit},
+		{&p.FlapMemory, defaultFlapMemory},
+		{&p.JoinBound, defaultJoinBound},
+		{&p.LoadBound, defaultLoadBound},
+	} {
+		if *f.v == 0 {
+			*f.v = f.def
+		}
+	}
+}
--- /dev/null
+++ b/internal/relayer/gate.go
@@ -0,0 +1,189 @@
+package relayer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/limiter"
+	"trefoilhead.org/trefoilhead/internal/locator"
+	"trefoilhead.org/trefoilhead/internal/refuser"
+	"trefoilhead.org/trefoilhead/internal/sharer"
+)
+
+// gate admits requests to one group that this entry owns.
+type gate struct {
+	mu      sync.Mutex
+	ramp    limiter.Ramp
+	hold    locator.Hold
+	running uint32
+	queue   sharer.Queue[chan bool]
+	// maxQueue bounds all waiting requests.
+	maxQueue    int
+	incarnation identifier.Incarnation
+	address     string
+	// usual is a moving average of how long a request takes.
+	usual time.Duration
+}
+
+// usualWeight is the weight of old values in the average duration.
+const usualWeight = 0.9
+
+// limit returns the number of requests that may run now.
+func (g *gate) limit() uint32 {
+	l := g.ramp.Limit()
+	switch g.hold {
+	case locator.FullHold:
+		return l
+	case locator.HalfHold:
+		return (l + 1) / 2
+	}
+	return 0
+}
+
+// admit waits until the request may run. The caller calls done afterwards if
+// and only if admit returned nil.
+func (g *gate) admit(ctx context.Context, r *Request, wait time.Duration) *refuser.Refusal {
+	g.mu.Lock()
+	if g.running < g.limit() && g.queue.Len() == 0 {
+		g.running++
+		g.mu.Unlock()
+		return nil
+	}
+	expected := g.expectedWait()
+	if g.queue.Len() >= g.maxQueue || expected > wait {
+		g.mu.Unlock()
+		return refuser.New(refuser.Overloaded, refuser.NotRun, "the replica's queue is full").After(max(expected, time.Second))
+	}
+	admitted := make(chan bool, 1)
+	it := &sharer.Item[chan bool]{Team: r.Team, Weight: r.Weight, Cost: r.Cost, Value: admitted}
+	if !g.queue.Push(it) {
+		g.mu.Unlock()
+		return refuser.New(refuser.Overloaded, refuser.NotRun, "the team has too many requests waiting").After(max(expected, time.Second))
+	}
+	g.mu.Unlock()
+	return g.wait(ctx, it, wait)
+}
+
+func (g *gate) wait(ctx context.Context, it *sharer.Item[chan bool], wait time.Duration) *refuser.Refusal {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	var why *refuser.Refusal
+	select {
+	case ok := <-it.Value:
+		return admission(ok)
+	case <-timer.C:
+		why = refuser.New(refuser.Overloaded, refuser.NotRun, "no place became free in time").After(time.Second)
+	case <-ctx.Done():
+		why = refuser.New(refuser.Cancelled, refuser.NotRun, "the caller gave up while waiting")
+	}
+	g.mu.Lock()
+	removed := g.queue.Remove(it)
+	g.mu.Unlock()
+	if removed {
+		return why
+	}
+	// Admitted or turned away at the same moment.
+	if ok := <-it.Value; !ok {
+		return admission(false)
+	}
+	if ctx.Err() == nil {
+		return nil
+	}
+	g.done(Result{Unsent: true})
+	return why
+}
+
+func admission(ok bool) *refuser.Refusal {
+	if ok {
+		return nil
+	}
+	return refuser.New(refuser.Moved, refuser.NotRun, "the replica stopped serving").After(time.Second)
+}
+
+// expectedWait estimates how long a new request would wait.
+func (g *gate) expectedWait() time.Duration {
+	limit := g.limit()
+	if limit == 0 {
+		return time.Duration(1<<62 - 1)
+	}
+	return g.usual * time.Duration(g.queue.Len()+1) / time.Duration(limit)
+}
+
+// Result is how a request at a backend server ended.
+type Result struct {
+	// Unsent is set when the request did not reach the server.
+	Unsent     bool
+	Failed     bool
+	FirstToken time.Duration
+	Total      time.Duration
+}
+
+// done gives the place of a request back.
+func (g *gate) done(r Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running := g.running
+	g.running--
+	switch {
+	case r.Failed:
+		g.ramp.Failure()
+	case !r.Unsent:
+		g.ramp.Success(r.FirstToken, running)
+		g.noteUsual(r.Total)
+	}
+	g.admitWaiting()
+}
+
+func (g *gate) noteUsual(d time.Duration) {
+	if g.usual == 0 {
+		g.usual = d
+		return
+	}
+	g.usual = time.Duration(usualWeight*float64(g.usual) + (1-usualWeight)*float64(d))
+}
+
+func (g *gate) admitWaiting() {
+	for g.running < g.limit() && g.queue.Len() > 0 {
+		g.running++
+		g.queue.Pop().Value <- true
+	}
+}
+
+// update takes over what the authority says of the group.
+func (g *gate) update(hold locator.Hold, inc identifier.Incarnation, address string, cold, warm uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.incarnation != inc || g.address != address {
+		g.ramp.Restart()
+	}
+	g.incarnation, g.address = inc, address
+	g.ramp.Cold, g.ramp.Warm = cold, warm
+	g.hold = hold
+	if hold == locator.NoHold {
+		g.turnAway()
+	}
+	g.admitWaiting()
+}
+
+// turnAway refuses every waiting request.
+func (g *gate) turnAway() {
+	for it := g.queue.Pop(); it != nil; it = g.queue.Pop() {
+		it.Value <- false
+	}
+}
+
+// GateStatus is the state of one gate for reports and the state dump.
+type GateStatus struct {
+	Group   identifier.Group `json:"group"`
+	Running uint32           `json:"running"`
+	Waiting int              `json:"waiting"`
+	Limit   uint32           `json:"limit"`
+}
+
+func (g *gate) status(id identifier.Group) GateStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return GateStatus{Group: id, Running: g.running, Waiting: g.queue.Len(), Limit: g.limit()}
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,270 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/limiter"
+	"trefoilhead.org/trefoilhead/internal/locator"
+	"trefoilhead.org/trefoilhead/internal/refuser"
+	"trefoilhead.org/trefoilhead/internal/router"
+)
+
+// Relayer takes callers' requests at one entry. Exported fields are set before
+// use.
+type Relayer struct {
+	VM      identifier.VM
+	Locator *locator.Locator
+	Owner   *Owner
+	Hop     *Hop
+	Claims  Claims
+	Policy  router.Policy
+	Bounds  Bounds
+	// Ready reports whether new work is taken, and why not.
+	Ready func() *refuser.Refusal
+
+	mu     sync.Mutex
+	sent   map[identifier.Group]uint32
+	budget limiter.Budget
+	stats  Stats
+}
+
+// Stats counts what became of callers' requests.
+type Stats struct {
+	Requests  uint64                  `json:"requests"`
+	Complete  uint64                  `json:"complete"`
+	Cut       uint64                  `json:"cut"`
+	Retries   uint64                  `json:"retries"`
+	Spilled   uint64                  `json:"spilled"`
+	Replayed  uint64                  `json:"replayed"`
+	Refusals  map[refuser.Code]uint64 `json:"refusals"`
+	Streaming int                     `json:"streaming"`
+}
+
+// Shares of retries.
+const (
+	retryShare  = 0.1
+	retryBurst  = 50
+	maxAttempts = 4
+)
+
+// Init prepares the relayer. It is called before any request.
+func (t *Relayer) Init() {
+	t.sent = map[identifier.Group]uint32{}
+	t.budget = limiter.Budget{Share: retryShare, Burst: retryBurst}
+	t.stats.Refusals = map[refuser.Code]uint64{}
+}
+
+// Stats returns the counts so far.
+func (t *Relayer) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stats
+	s.Refusals = map[refuser.Code]uint64{}
+	for c, n := range t.stats.Refusals {
+		s.Refusals[c] = n
+	}
+	return s
+}
+
+func (t *Relayer) count(add func(*Stats)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	add(&t.stats)
+}
+
+// attempt is what one request has tried so far.
+type attempt struct {
+	groups  map[identifier.Group]bool
+	domains map[identifier.FailureDomain]bool
+	// forwarded requests stay in this domain.
+	forwarded bool
+}
+
+// route sends a request until it is answered or a retry is not allowed. A
+// retry follows when the request certainly did not run, or when it may run
+// twice.
+func (t *Relayer) route(ctx context.Context, r *Request) (*Reply, *refuser.Refusal) {
+	t.mu.Lock()
+	t.budget.Request()
+	t.mu.Unlock()
+	a := &attempt{groups: map[identifier.Group]bool{}, domains: map[identifier.FailureDomain]bool{}}
+	var last *refuser.Refusal
+	mayHaveRun := false
+	for range maxAttempts {
+		reply, why := t.sendOnce(ctx, r, a)
+		if why == nil {
+			return reply, nil
+		}
+		if last == nil || why.Code != refuser.NoCapacity {
+			last = why
+		}
+		mayHaveRun = mayHaveRun || why.Statement == refuser.Unknown
+		if !t.mayRetry(ctx, r, why) {
+			break
+		}
+		t.count(func(s *Stats) { s.Retries++ })
+	}
+	if mayHaveRun && last.Statement == refuser.NotRun {
+		changed := *last
+		changed.Statement = refuser.Unknown
+		last = &changed
+	}
+	return nil, last
+}
+
+func (t *Relayer) mayRetry(ctx context.Context, r *Request, why *refuser.Refusal) bool {
+	if ctx.Err() != nil || why.Statement == refuser.Unknown && !r.Idempotent {
+		return false
+	}
+	switch why.Code {
+	case refuser.Overloaded, refuser.DeadlineTooNear, refuser.NoSuchService, refuser.BadRequest:
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budget.Retry()
+}
+
+// sendOnce sends a request to the domain that suits best.
+func (t *Relayer) sendOnce(ctx context.Context, r *Request, a *attempt) (*Reply, *refuser.Refusal) {
+	local := t.Locator.Domain
+	domain, ok := router.PickDomain(local, t.domains(r.Service, a), a.domains)
+	if !ok {
+		return nil, refuser.New(refuser.NoCapacity, refuser.NotRun, "no replica of the service is serving").After(time.Second)
+	}
+	if domain == local {
+		reply, why := t.sendLocal(ctx, r, a)
+		if why != nil && why.Code == refuser.NoCapacity {
+			a.domains[local] = true
+		}
+		return reply, why
+	}
+	a.domains[domain] = true
+	t.count(func(s *Stats) { s.Spilled++ })
+	return t.sendRemote(ctx, r, domain)
+}
+
+// domains returns the domains' loads with this entry's own requests added.
+func (t *Relayer) domains(s identifier.Service, a *attempt) []router.DomainLoad {
+	loads := t.Locator.Domains(time.Now(), s)
+	if a.domains[t.Locator.Domain] {
+		return loads
+	}
+	for i := range loads {
+		if loads[i].Domain != t.Locator.Domain {
+			continue
+		}
+		running := uint32(0)
+		for _, c := range t.candidates(s, a) {
+			running += max(c.Running, c.Sent)
+		}
+		loads[i].Running = running
+	}
+	return loads
+}
+
+// candidates returns the local groups with the requests that this entry has
+// running there.
+func (t *Relayer) candidates(s identifier.Service, a *attempt) []router.Candidate {
+	cs := t.Locator.Candidates(s, a.groups)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range cs {
+		mine := t.sent[cs[i].Group]
+		// The owner's report lags; what this entry has running is certain.
+		if mine > cs[i].Running {
+			cs[i].Sent = mine - cs[i].Running
+		}
+	}
+	return cs
+}
+
+// sendLocal sends a request to a group of this entry's domain.
+func (t *Relayer) sendLocal(ctx context.Context, r *Request, a *attempt) (*Reply, *refuser.Refusal) {
+	cs := t.candidates(r.Service, a)
+	t.mu.Lock()
+	i := t.Policy.Pick(cs, r.Prefix)
+	if i >= 0 {
+		t.sent[cs[i].Group]++
+	}
+	t.mu.Unlock()
+	if i < 0 {
+		return nil, refuser.New(refuser.NoCapacity, refuser.NotRun, "no replica of the service is serving in this failure domain").After(time.Second)
+	}
+	c := cs[i]
+	a.groups[c.Group] = true
+	var reply *Reply
+	var why *refuser.Refusal
+	if c.Owner == t.VM {
+		reply, why = t.Owner.Do(ctx, c.Group, r)
+	} else {
+		reply, why = t.Hop.Do(ctx, c.Owner, c.Group, r)
+	}
+	if why != nil {
+		t.returned(c.Group)
+		return nil, why
+	}
+	reply.Body = &countedBody{readCloser: reply.Body, ended: func() { t.returned(c.Group) }}
+	return reply, nil
+}
+
+func (t *Relayer) returned(g identifier.Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent[g]--
+	if t.sent[g] == 0 {
+		delete(t.sent, g)
+	}
+}
+
+// countedBody tells when an answer has ended.
+type countedBody struct {
+	readCloser
+	ended func()
+	once  sync.Once
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	b.once.Do(b.ended)
+	return b.readCloser.Close()
+}
+
+// sendRemote sends a request through a random entry of another domain.
+func (t *Relayer) sendRemote(ctx context.Context, r *Request, d identifier.FailureDomain) (*Reply, *refuser.Refusal) {
+	entries := t.Locator.Entries(d)
+	if len(entries) == 0 {
+		return nil, refuser.New(refuser.NoCapacity, refuser.NotRun, "no entry of the other failure domain is known").After(time.Second)
+	}
+	return t.Hop.Do(ctx, entries[rand.IntN(len(entries))], "", r)
+}
+
+// finish relays an answer to the caller and counts how it ended.
+func (t *Relayer) finish(w http.ResponseWriter, r *Request, reply *Reply) {
+	t.count(func(s *Stats) { s.Streaming++ })
+	defer t.count(func(s *Stats) { s.Streaming-- })
+	var err error
+	if r.Stream && reply.Status == http.StatusOK {
+		err = copyStream(w, reply)
+	} else {
+		err = copyReply(w, reply)
+	}
+	if err == nil {
+		t.count(func(s *Stats) { s.Complete++ })
+		return
+	}
+	t.count(func(s *Stats) { s.Cut++ })
+	// Ending the connection without the final chunk tells the caller that the
+	// answer is cut.
+	panic(http.ErrAbortHandler)
+}
+
+func (t *Relayer) refuse(w http.ResponseWriter, why *refuser.Refusal) {
+	t.count(func(s *Stats) { s.Refusals[why.Code]++ })
+	why.Write(w)
+}
--- /dev/null
+++ b/internal/replicator/node.go
@@ -0,0 +1,334 @@
+package replicator
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+)
+
+// Errors that Propose returns. Each means that nothing was appended.
+var (
+	ErrNotLeader     = errors.New("this voter does not lead the log")
+	ErrChangePending = errors.New("another change of voters is not committed yet")
+)
+
+// Sizes of one Append message.
+const (
+	maxAppendEntries = 256
+	maxAppendBytes   = 1 << 20
+)
+
+// Node is one voter. Exported fields are set before Start and not changed
+// afterwards.
+type Node struct {
+	ID NodeID
+	// ElectionTicks is the least number of ticks without a leader before an
+	// election; the limit is drawn between it and twice as many.
+	ElectionTicks int
+	// HeartbeatTicks is the number of ticks between a leader's heartbeats.
+	HeartbeatTicks int
+	// Rand draws election limits.
+	Rand *rand.Rand
+	// KeepCommit stores the commit index before entries are handed out, so
+	// that a restarted voter knows at once all that it had applied.
+	KeepCommit bool
+
+	role   Role
+	state  HardState
+	leader NodeID
+	log    entryLog
+	commit Index
+	// saved is the last entry known to be synced here.
+	saved Index
+	// handed is the last committed entry put into an Output.
+	handed   Index
+	snapshot Snapshot
+	// changes lists every set of voters in the log, oldest first.
+	changes []voterChange
+
+	elapsed       int
+	electionLimit int
+	votes         map[NodeID]bool
+	progress      map[NodeID]*progress
+	blank         Index
+
+	out          Output
+	stateChanged bool
+	unsavedFrom  Index
+}
+
+type voterChange struct {
+	index  Index
+	voters []NodeID
+}
+
+// progress is what a leader knows of one other voter.
+type progress struct {
+	match  Index
+	next   Index
+	recent bool
+	// installing counts the heartbeats left before a snapshot is sent again.
+	installing int
+}
+
+// Stored is what a voter finds on its disk, or the starting voters of a new
+// log in Snapshot.Voters.
+type Stored struct {
+	State    HardState
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+// Start loads what was stored. It is called once, before any other method.
+func (n *Node) Start(s Stored) {
+	n.state = s.State
+	n.snapshot = s.Snapshot
+	n.log.reset(s.Snapshot.Index, s.Snapshot.Term)
+	n.changes = []voterChange{{index: s.Snapshot.Index, voters: s.Snapshot.Voters}}
+	n.commit = s.Snapshot.Index
+	n.handed = s.Snapshot.Index
+	for _, e := range s.Entries {
+		n.log.entries = append(n.log.entries, e)
+		n.noteVoters(e)
+	}
+	n.saved = n.log.last()
+	n.commit = min(max(n.commit, s.State.Commit), n.log.last())
+	n.follow(n.state.Term, "")
+}
+
+// Role returns what this voter does now.
+func (n *Node) Role() Role { return n.role }
+
+// Leader returns the leader of the present term, or an empty id.
+func (n *Node) Leader() NodeID { return n.leader }
+
+// Term returns the present term.
+func (n *Node) Term() Term { return n.state.Term }
+
+// Commit returns the last entry known to be committed.
+func (n *Node) Commit() Index { return n.commit }
+
+// LastIndex returns the last entry of the log, committed or not.
+func (n *Node) LastIndex() Index { return n.log.last() }
+
+// FirstIndex returns the first entry that is not covered by the snapshot.
+func (n *Node) FirstIndex() Index { return n.log.first() }
+
+// Voters returns the newest set of voters in the log.
+func (n *Node) Voters() []NodeID { return n.changes[len(n.changes)-1].voters }
+
+// Tick tells that one unit of time has passed.
+func (n *Node) Tick() {
+	n.elapsed++
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.elapsed >= n.electionLimit && n.isVoter() {
+		n.campaign(PreCandidate)
+	}
+}
+
+// isVoter reports whether this Node is among the voters.
+func (n *Node) isVoter() bool { return slices.Contains(n.Voters(), n.ID) }
+
+func (n *Node) tickLeader() {
+	if n.elapsed%n.HeartbeatTicks == 0 {
+		n.broadcast(true)
+	}
+	if n.elapsed < n.ElectionTicks {
+		return
+	}
+	n.elapsed = 0
+	heard := 0
+	for _, id := range n.Voters() {
+		if id == n.ID {
+			heard++
+			continue
+		}
+		if p := n.progress[id]; p != nil && p.recent {
+			heard++
+			p.recent = false
+		}
+	}
+	if heard < majority(len(n.Voters())) {
+		n.follow(n.state.Term, "")
+	}
+}
+
+// Propose appends a command when this Node leads, and returns its index and
+// term. The command is committed only if an entry with both comes out of
+// Output.Committed.
+func (n *Node) Propose(data []byte) (Index, Term, error) {
+	return n.propose(EntryCommand, data)
+}
+
+// ProposeVoters appends a new set of voters that differs by one from the
+// present one.
+func (n *Node) ProposeVoters(voters []NodeID) (Index, Term, error) {
+	if n.role == Leader && (n.changes[len(n.changes)-1].index > n.commit || n.commit < n.blank) {
+		return 0, 0, ErrChangePending
+	}
+	if !differByOne(n.Voters(), voters) {
+		return 0, 0, errors.New("voters have to change one at a time")
+	}
+	return n.propose(EntryVoters, encodeVoters(voters))
+}
+
+func (n *Node) propose(kind EntryKind, data []byte) (Index, Term, error) {
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	e := Entry{Index: n.log.last() + 1, Term: n.state.Term, Kind: kind, Data: data}
+	n.appendEntry(e)
+	n.broadcast(false)
+	return e.Index, e.Term, nil
+}
+
+func (n *Node) appendEntry(e Entry) {
+	n.log.entries = append(n.log.entries, e)
+	n.markUnsaved(e.Index)
+	n.noteVoters(e)
+}
+
+func (n *Node) markUnsaved(i Index) {
+	if n.unsavedFrom == 0 || i < n.unsavedFrom {
+		n.unsavedFrom = i
+	}
+	if n.saved >= i {
+		n.saved = i - 1
+	}
+}
+
+func (n *Node) noteVoters(e Entry) {
+	if e.Kind != EntryVoters {
+		return
+	}
+	voters := decodeVoters(e.Data)
+	n.changes = append(n.changes, voterChange{index: e.Index, voters: voters})
+	if n.role == Leader {
+		n.trackVoters()
+	}
+}
+
+// trackVoters makes the leader's progress table match the voters.
+func (n *Node) trackVoters() {
+	for _, id := range n.Voters() {
+		if id != n.ID && n.progress[id] == nil {
+			n.progress[id] = &progress{next: n.log.last() + 1, recent: true}
+		}
+	}
+	for id := range n.progress {
+		if !slices.Contains(n.Voters(), id) {
+			delete(n.progress, id)
+		}
+	}
+}
+
+// Saved tells that every entry handed out so far with an index up to i is
+// synced here.
+func (n *Node) Saved(i Index) {
+	if i > n.saved && i <= n.log.last() {
+		n.saved = i
+	}
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
+
+// Compact replaces the log up to snapshot index i by data, and keeps trailing
+// entries for followers that lag a little. It returns the snapshot to store.
+func (n *Node) Compact(i Index, data []byte, trailing Index) (Snapshot, bool) {
+	t, ok := n.log.term(i)
+	if !ok || i > n.handed || i <= n.snapshot.Index {
+		return Snapshot{}, false
+	}
+	n.snapshot = Snapshot{Index: i, Term: t, Voters: n.votersAt(i), Data: data}
+	if i > trailing {
+		n.log.compact(i - trailing)
+	}
+	n.dropChangesBefore(n.log.base)
+	return n.snapshot, true
+}
+
+func (n *Node) votersAt(i Index) []NodeID {
+	voters := n.changes[0].voters
+	for _, c := range n.changes {
+		if c.index <= i {
+			voters = c.voters
+		}
+	}
+	return voters
+}
+
+// dropChangesBefore keeps the newest set of voters at or before i and all
+// later ones.
+func (n *Node) dropChangesBefore(i Index) {
+	for len(n.changes) > 1 && n.changes[1].index <= i {
+		n.changes = n.changes[1:]
+	}
+}
+
+// Take returns what has to be done and clears it.
+func (n *Node) Take() Output {
+	if n.KeepCommit && n.commit > n.state.Commit {
+		n.state.Commit = n.commit
+		n.stateChanged = true
+	}
+	if n.stateChanged {
+		s := n.state
+		n.out.State = &s
+		n.stateChanged = false
+	}
+	if n.unsavedFrom != 0 {
+		n.out.Entries = slices.Clone(n.log.slice(n.unsavedFrom, n.log.last()))
+		n.unsavedFrom = 0
+	}
+	if n.commit > n.handed {
+		n.out.Committed = slices.Clone(n.log.slice(n.handed+1, n.commit))
+		n.handed = n.commit
+	}
+	out := n.out
+	n.out = Output{}
+	return out
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.ID
+	if m.Term == 0 {
+		m.Term = n.state.Term
+	}
+	n.out.Messages = append(n.out.Messages, m)
+}
+
+func (n *Node) setState(t Term, vote NodeID) {
+	if n.state.Term == t && n.state.Vote == vote {
+		return
+	}
+	n.state.Term, n.state.Vote = t, vote
+	n.stateChanged = true
+}
+
+// follow makes this Node a follower of leader, which may be unknown, in term t.
+func (n *Node) follow(t Term, leader NodeID) {
+	if t > n.state.Term {
+		n.setState(t, "")
+	}
+	n.role = Follower
+	n.leader = leader
+	n.votes = nil
+	n.progress = nil
+	n.resetElection()
+}
+
+func (n *Node) resetElection() {
+	n.elapsed = 0
+	n.electionLimit = n.ElectionTicks + n.Rand.IntN(n.ElectionTicks)
+}
+
+func majority(voters int) int { return voters/2 + 1 }
+
+// EntriesAfter returns the entries after i, committed or not.
+func (n *Node) EntriesAfter(i Index) []Entry {
+	return slices.Clone(n.log.slice(i+1, n.log.last()))
+}
--- /dev/null
+++ b/internal/server/authority.go
@@ -0,0 +1,224 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log/level"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/placer"
+	"trefoilhead.org/trefoilhead/internal/recorder"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1"
+	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1/trefoilheadv1connect"
+)
+
+// authority is the placement of this failure domain while this process holds
+// its lease.
+type authority struct {
+	mu       sync.Mutex
+	active   bool
+	epoch    identifier.Epoch
+	placer   placer.Placer
+	entries  map[identifier.VM]*entryRecord
+	heardBy  map[identifier.VM]identifier.VM
+	view     *peerv1.PlacementView
+	version  uint64
+	sequence uint64
+	revision identifier.Revision
+	client   *http.Client
+}
+
+// entryRecord is what the authority knows of one entry VM.
+type entryRecord struct {
+	address  string
+	heard    time.Time
+	loads    map[identifier.Group]groupLoad
+	revision identifier.Revision
+}
+
+type groupLoad struct {
+	running uint32
+	limit   uint32
+}
+
+func (s *Server) initAuthority() {
+	s.authority.placer = placer.Placer{Domain: s.Settings.FailureDomain, Policy: placer.Policy{
+		OrderLife: s.Settings.Timing.OrderLife,
+		Learning:  s.Settings.Timing.Silence + 2*s.Settings.Timing.Heartbeat,
+	}}
+	s.authority.client = &http.Client{
+		Transport: newTransport(newDialer(s.Settings.Timing.Silence), s.tls),
+		Timeout:   s.Settings.Timing.Silence,
+	}
+}
+
+// stepAuthority lets the placer decide while the lease is held.
+func (s *Server) stepAuthority(ctx context.Context) {
+	now := time.Now()
+	epoch, held := s.lease.holds(now)
+	a := &s.authority
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !held {
+		if a.active {
+			s.info("placement", "no longer the authority", "epoch", a.epoch)
+		}
+		a.active = false
+		return
+	}
+	if !a.active {
+		s.beginAuthority(now, epoch)
+	}
+	a.epoch = epoch
+	a.placer.SetEpoch(epoch)
+	s.feedPlacer(now)
+	for _, o := range a.placer.Step(now) {
+		s.group.Go(func() { s.sendOrder(ctx, o) })
+	}
+	s.buildView(now)
+}
+
+func (s *Server) beginAuthority(now time.Time, epoch identifier.Epoch) {
+	a := &s.authority
+	a.active = true
+	a.entries = map[identifier.VM]*entryRecord{}
+	a.heardBy = map[identifier.VM]identifier.VM{}
+	a.view = nil
+	a.revision = 0
+	a.placer.Begin(now, epoch)
+	s.info("placement", "became the authority", "epoch", epoch)
+}
+
+func (s *Server) feedPlacer(now time.Time) {
+	a := &s.authority
+	if s.caughtUp() {
+		view := s.config.View()
+		a.placer.SetWants(wantsFor(view, s.Settings.FailureDomain))
+		a.placer.SetDrained(drainedServers(view))
+	}
+	var live []identifier.VM
+	loads := map[identifier.Group]uint32{}
+	for vm, e := range a.entries {
+		silent := now.Sub(e.heard)
+		if silent <= s.Settings.Timing.Silence {
+			live = append(live, vm)
+		}
+		if silent > 2*s.Settings.Timing.Silence {
+			s.loseEntry(now, vm)
+			continue
+		}
+		for g, l := range e.loads {
+			loads[g] += l.running
+		}
+	}
+	a.placer.SetEntries(sortedVMs(live))
+	a.placer.SetLoads(loads)
+}
+
+// loseEntry gives up an entry together with the backend servers that only it
+// has heard.
+func (s *Server) loseEntry(now time.Time, entry identifier.VM) {
+	a := &s.authority
+	delete(a.entries, entry)
+	for vm, by := range a.heardBy {
+		if by == entry {
+			a.placer.Lost(now, vm)
+			delete(a.heardBy, vm)
+		}
+	}
+	s.info("placement", "entry lost", "entry", entry)
+}
+
+func wantsFor(v recorder.View, d identifier.FailureDomain) []placer.Want {
+	var wants []placer.Want
+	for _, svc := range v.Services() {
+		wants = append(wants, placer.Want{
+			Service: svc.ID, Plain: svc.Kind == "plain", Model: svc.Model, Version: svc.Version,
+			Adapters: svc.Adapters, Replicas: svc.Replicas[d], VMs: svc.VMsPerReplica,
+			Accelerators: svc.AcceleratorsPerVM, Priority: svc.Priority,
+			Concurrency: svc.Concurrency, ColdConcurrency: svc.ColdConcurrency,
+		})
+	}
+	return wants
+}
+
+func drainedServers(v recorder.View) map[identifier.VM]bool {
+	out := map[identifier.VM]bool{}
+	for _, d := range v.Drains {
+		if d.Kind == recorder.DrainBackendServer {
+			out[identifier.VM(d.ID)] = true
+		}
+	}
+	return out
+}
+
+// sendOrder carries one order to an engine and feeds the answer back. The
+// lease is checked once more, since this goroutine may run late.
+func (s *Server) sendOrder(ctx context.Context, o placer.Order) {
+	epoch, held := s.lease.holds(time.Now())
+	reply := placer.Reply{Order: o}
+	if held && epoch == o.Fence.Epoch() {
+		reply = s.callEngine(ctx, o)
+	}
+	a := &s.authority
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.active && a.epoch >= o.Fence.Epoch() {
+		a.placer.OrderEnded(time.Now(), reply)
+	}
+}
+
+func (s *Server) callEngine(ctx context.Context, o placer.Order) placer.Reply {
+	reply := placer.Reply{Order: o}
+	req := connect.NewRequest(encodeOrder(o))
+	req.Header().Set("Authorization", "Bearer "+s.Settings.Keys.Backend)
+	resp, err := trefoilheadv1connect.NewEngineClient(s.authority.client, o.Address).Order(ctx, req)
+	if err != nil {
+		_ = level.Warn(s.Logger).Log("part", "placement", "msg", "order not answered", "vm", o.VM, "action", string(o.Action), "err", err)
+		return reply
+	}
+	s.info("placement", "order answered", "vm", o.VM, "action", string(o.Action), "group", o.Group, "fence", o.Fence, "accepted", resp.Msg.GetAccepted(), "reason", resp.Msg.GetReason())
+	reply.Answered, reply.Accepted, reply.Reason = true, resp.Msg.GetAccepted(), resp.Msg.GetReason()
+	if server := resp.Msg.GetServer(); server != nil {
+		s.authority.mu.Lock()
+		s.authority.placer.Heard(time.Now(), decodeServer(server))
+		s.authority.mu.Unlock()
+	}
+	return reply
+}
+
+func encodeOrder(o placer.Order) *trefoilheadv1.OrderRequest {
+	out := &trefoilheadv1.OrderRequest{
+		Fence: uint64(o.Fence), Incarnation: uint64(o.Incarnation), Action: string(o.Action), Group: string(o.Group),
+		Rank: uint32(o.Rank), Model: o.Model, Version: o.Version, Adapters: o.Adapters, MemberAddresses: o.Addresses,
+	}
+	for _, m := range o.Members {
+		out.Members = append(out.Members, string(m))
+	}
+	return out
+}
+
+func decodeServer(b *trefoilheadv1.BackendServer) placer.Server {
+	return placer.Server{
+		VM: identifier.VM(b.GetVmId()), FabricDomain: identifier.FabricDomain(b.GetFabricDomain()),
+		Accelerators: b.GetAccelerators(), Kind: b.GetKind(), Incarnation: identifier.Incarnation(b.GetIncarnation()),
+		HonoursFencing: b.GetHonoursFencing(), Address: b.GetAddress(), Group: identifier.Group(b.GetGroup()),
+		GroupFence: identifier.Fence(b.GetGroupFence()), GroupMembers: toVMs(b.GetGroupMembers()),
+		State: placer.EngineState(b.GetState()), Model: b.GetModel(), Version: b.GetVersion(),
+		Adapters: b.GetAdapters(), Concurrency: b.GetConcurrency(), HighestFence: identifier.Fence(b.GetHighestFence()),
+		Sequence: b.GetSequence(),
+	}
+}
+
+func toVMs(ids []string) []identifier.VM {
+	var vms []identifier.VM
+	for _, id := range ids {
+		vms = append(vms, identifier.VM(id))
+	}
+	return vms
+}
--- /dev/null
+++ b/internal/server/network.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"trefoilhead.org/trefoilhead/internal/configurer"
+)
+
+// Error is the class of every error of this package.
+var Error = errs.Class("server")
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux: how long sent data may stay
+// unacknowledged before the connection ends.
+const tcpUserTimeout = 18
+
+// newDialer returns a dialer whose connections end when the other end has been
+// unreachable for about the silence bound.
+func newDialer(silence time.Duration) *net.Dialer {
+	const probes = 3
+	return &net.Dialer{
+		Timeout: silence,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: probes,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			ms := int(silence.Milliseconds())
+			cerr := c.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, ms)
+			})
+			if cerr != nil {
+				return cerr
+			}
+			return err
+		},
+	}
+}
+
+func newTransport(d *net.Dialer, c *credentials) *http.Transport {
+	const (
+		idlePerHost = 256
+		idleTime    = 30 * time.Second
+	)
+	return &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTime,
+		DisableCompression: true, TLSClientConfig: c.client(),
+	}
+}
+
+func (s *Server) listen(address string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if cfg := s.tls.server(); cfg != nil {
+		return tls.NewListener(l, cfg), nil
+	}
+	return l, nil
+}
+
+// credentials are the certificate of this process and the authority that signs
+// those of its peers. The certificate is read again when its file changes. A
+// nil credentials means plain connections.
+type credentials struct {
+	files configurer.TLS
+	pool  *x509.CertPool
+
+	mu       sync.Mutex
+	modified time.Time
+	cert     *tls.Certificate
+}
+
+func loadCredentials(files configurer.TLS) (*credentials, error) {
+	if files.CertificateFile == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(files.AuthorityFile)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c := &credentials{files: files, pool: x509.NewCertPool()}
+	if !c.pool.AppendCertsFromPEM(pem) {
+		return nil, Error.New("%s holds no certificate", files.AuthorityFile)
+	}
+	_, err = c.certificate()
+	return c, err
+}
+
+func (c *credentials) certificate() (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	info, err := os.Stat(c.files.CertificateFile)
+	if err == nil && c.cert != nil && info.ModTime().Equal(c.modified) {
+		return c.cert, nil
+	}
+	cert, err := tls.LoadX509KeyPair(c.files.CertificateFile, c.files.KeyFile)
+	if err != nil {
+		if c.cert != nil {
+			// A half-written file must not stop the listener.
+			return c.cert, nil
+		}
+		return nil, Error.Wrap(err)
+	}
+	if info != nil {
+		c.modified = info.ModTime()
+	}
+	c.cert = &cert
+	return c.cert, nil
+}
+
+func (c *credentials) server() *tls.Config {
+	if c == nil {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.certificate() },
+	}
+}
+
+func (c *credentials) client() *tls.Config {
+	if c == nil {
+		return nil
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: c.pool}
+}
+
+// scheme returns the plain scheme, or its variant over TLS.
+func (c *credentials) scheme(plain string) string {
+	if c == nil {
+		return plain
+	}
+	return plain + "s"
+}
--- /dev/null
+++ b/internal/server/operator.go
@@ -0,0 +1,240 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"trefoilhead.org/trefoilhead/internal/declarer"
+	"trefoilhead.org/trefoilhead/internal/driver"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/recorder"
+	"trefoilhead.org/trefoilhead/internal/replicator"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1"
+)
+
+// operatorWait bounds an operator's call when its context has no deadline.
+const operatorWait = 10 * time.Second
+
+// operator implements trefoilheadv1connect.OperatorHandler.
+type operator struct{ s *Server }
+
+// Apply changes declared objects.
+func (o operator) Apply(ctx context.Context, req *connect.Request[trefoilheadv1.ApplyRequest]) (*connect.Response[trefoilheadv1.ApplyResponse], error) {
+	m := req.Msg
+	c := recorder.Change{RequestID: m.GetRequestId(), Expected: identifier.Revision(m.GetExpectedRevision())}
+	for _, p := range m.GetPut() {
+		obj := declarer.Object{Key: declarer.Key{Kind: p.GetKind(), ID: p.GetId()}, Body: p.GetBody()}
+		if err := declarer.CheckObject(obj); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		c.Put = append(c.Put, obj)
+	}
+	for _, r := range m.GetRemove() {
+		c.Remove = append(c.Remove, declarer.Key{Kind: r.GetKind(), ID: r.GetId()})
+	}
+	return o.change(ctx, c)
+}
+
+// SetDrain takes something out of service or returns it.
+func (o operator) SetDrain(ctx context.Context, req *connect.Request[trefoilheadv1.SetDrainRequest]) (*connect.Response[trefoilheadv1.ApplyResponse], error) {
+	m := req.Msg
+	d := &recorder.Drain{Kind: m.GetTarget().GetKind(), ID: m.GetTarget().GetId()}
+	if !d.Valid() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, Error.New("%s %q cannot be drained", d.Kind, d.ID))
+	}
+	c := recorder.Change{RequestID: m.GetRequestId(), Expected: identifier.Revision(m.GetExpectedRevision())}
+	if m.GetDrained() {
+		c.Drain = d
+	} else {
+		c.Undrain = d
+	}
+	return o.change(ctx, c)
+}
+
+func (o operator) change(ctx context.Context, c recorder.Change) (*connect.Response[trefoilheadv1.ApplyResponse], error) {
+	if c.RequestID == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, Error.New("request_id is empty"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorWait)
+	defer cancel()
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	result, err := o.s.propose(ctx, configLog, data)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable,
+			fmt.Errorf("%w; the change may still be accepted: resend it under the same request_id", err))
+	}
+	var out recorder.Outcome
+	if err := json.Unmarshal(result, &out); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	switch out.Code {
+	case recorder.Conflict:
+		return nil, connect.NewError(connect.CodeAborted,
+			Error.New("revision is %d, not %d; request %q took the next one", out.Revision, c.Expected, out.Winner))
+	case recorder.Invalid:
+		return nil, connect.NewError(connect.CodeInvalidArgument, Error.New("the change removes or drains what does not exist"))
+	}
+	return connect.NewResponse(&trefoilheadv1.ApplyResponse{Revision: uint64(out.Revision), Replayed: out.Replayed}), nil
+}
+
+// Get returns the configuration in force at this process.
+func (o operator) Get(_ context.Context, req *connect.Request[trefoilheadv1.GetRequest]) (*connect.Response[trefoilheadv1.GetResponse], error) {
+	view := o.s.config.View()
+	out := &trefoilheadv1.GetResponse{Revision: uint64(view.Revision), CutOff: o.s.cutOff()}
+	for _, obj := range view.Objects {
+		kind, id := req.Msg.GetKind(), req.Msg.GetId()
+		if kind != "" && kind != obj.Kind || id != "" && id != obj.ID {
+			continue
+		}
+		out.Objects = append(out.Objects, &trefoilheadv1.Object{Kind: obj.Kind, Id: obj.ID, Body: obj.Body})
+	}
+	for _, d := range view.Drains {
+		out.Drains = append(out.Drains, &trefoilheadv1.Drain{Kind: d.Kind, Id: d.ID})
+	}
+	return connect.NewResponse(out), nil
+}
+
+// ListGroups returns the groups of this process's failure domain.
+func (o operator) ListGroups(context.Context, *connect.Request[trefoilheadv1.ListGroupsRequest]) (*connect.Response[trefoilheadv1.ListGroupsResponse], error) {
+	out := &trefoilheadv1.ListGroupsResponse{}
+	view, _ := o.s.locator.View(time.Now())
+	for _, g := range view.GetGroups() {
+		out.Groups = append(out.Groups, &trefoilheadv1.GroupInfo{
+			Id: g.GetId(), Service: g.GetService(), FailureDomain: view.GetFailureDomain(), FabricDomain: g.GetFabricDomain(),
+			Members: g.GetMembers(), State: g.GetState(), Reason: g.GetReason(), Owner: g.GetOwner(), Fence: g.GetFence(),
+		})
+	}
+	out.Stranded = view.GetStranded()
+	return connect.NewResponse(out), nil
+}
+
+// Status returns what this process says of itself and hears of its peers.
+func (o operator) Status(ctx context.Context, _ *connect.Request[trefoilheadv1.StatusRequest]) (*connect.Response[trefoilheadv1.StatusResponse], error) {
+	s := o.s
+	out := &trefoilheadv1.StatusResponse{
+		VmId: string(s.Settings.VM), FailureDomain: string(s.Settings.FailureDomain), Revision: uint64(s.config.Revision()),
+		Leader: string(s.leaderOf(configLog)), CutOff: s.cutOff(), PlacementAuthority: string(s.lease.knownHolder()),
+		Peers: s.askPeers(ctx),
+	}
+	return connect.NewResponse(out), nil
+}
+
+// askPeers asks every peer for its revision. A peer that does not answer in
+// time is listed with the age that it was given.
+func (s *Server) askPeers(ctx context.Context) []*trefoilheadv1.PeerStatus {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.Timing.Heartbeat)
+	defer cancel()
+	peers := s.Settings.Peers
+	out := make([]*trefoilheadv1.PeerStatus, len(peers))
+	done := make(chan struct{}, len(peers))
+	for i, p := range peers {
+		out[i] = &trefoilheadv1.PeerStatus{VmId: string(p.VM), FailureDomain: string(p.FailureDomain)}
+		go func() {
+			out[i].Revision, out[i].AgeMs = s.askRevision(ctx, p.VM)
+			done <- struct{}{}
+		}()
+	}
+	for range peers {
+		<-done
+	}
+	return out
+}
+
+// unreachableAge stands for a peer that did not answer.
+const unreachableAge = ^uint64(0)
+
+func (s *Server) askRevision(ctx context.Context, vm identifier.VM) (revision, age uint64) {
+	if vm == s.Settings.VM {
+		return uint64(s.config.Revision()), 0
+	}
+	// A pull beyond every revision returns no changes, only the peer's own.
+	answer, err := s.linker.Call(ctx, vm, &peerv1.Envelope{Pull: &peerv1.Pull{Revision: ^uint64(0)}})
+	if err != nil {
+		return 0, unreachableAge
+	}
+	return answer.GetDelta().GetRevision(), answer.GetDelta().GetQuorumAgeMs()
+}
+
+// Backup returns the configuration with a checksum.
+func (o operator) Backup(context.Context, *connect.Request[trefoilheadv1.BackupRequest]) (*connect.Response[trefoilheadv1.BackupResponse], error) {
+	data := o.s.config.Snapshot()
+	return connect.NewResponse(&trefoilheadv1.BackupResponse{
+		Revision: uint64(o.s.config.Revision()), Data: data, Checksum: xxhash.Sum64(data),
+	}), nil
+}
+
+// ChangeVoter adds or removes one voter in both logs. It is sent to any voter,
+// but works only where this process leads the logs; others say who does.
+func (o operator) ChangeVoter(ctx context.Context, req *connect.Request[trefoilheadv1.ChangeVoterRequest]) (*connect.Response[trefoilheadv1.ChangeVoterResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorWait)
+	defer cancel()
+	out := &trefoilheadv1.ChangeVoterResponse{}
+	for _, name := range []string{configLog, claimsLog} {
+		voters, err := o.s.changeVoter(ctx, name, identifier.VM(req.Msg.GetVmId()), req.Msg.GetRemove())
+		if err != nil {
+			return nil, err
+		}
+		out.Voters = nil
+		for _, v := range voters {
+			out.Voters = append(out.Voters, string(v))
+		}
+	}
+	return connect.NewResponse(out), nil
+}
+
+func (s *Server) changeVoter(ctx context.Context, name string, vm identifier.VM, remove bool) ([]replicator.NodeID, error) {
+	d := s.logs[name]
+	if d == nil || d.Status().Leader != s.Settings.VM {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, Error.New("send this call to %q, which leads log %s", s.leaderOf(name), name))
+	}
+	have := d.Status().Voters
+	voters := slices.DeleteFunc(slices.Clone(have), func(id replicator.NodeID) bool { return driver.VMOf(id) == vm })
+	if !remove {
+		id, err := s.nodeID(ctx, name, vm)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		if slices.Contains(have, id) {
+			return have, nil
+		}
+		if len(voters) != len(have) {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, Error.New("remove %s first: its old disk is still a voter", vm))
+		}
+		voters = append(voters, id)
+	}
+	if len(voters) == len(have) {
+		return have, nil
+	}
+	if err := d.ProposeVoters(ctx, voters); err != nil {
+		if errors.Is(err, replicator.ErrChangePending) {
+			return nil, connect.NewError(connect.CodeAborted, err)
+		}
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	s.info("log", "voters changed", "log", name, "voters", fmt.Sprint(voters))
+	return voters, nil
+}
+
+// nodeID asks a VM for its id in a log.
+func (s *Server) nodeID(ctx context.Context, name string, vm identifier.VM) (replicator.NodeID, error) {
+	answer, err := s.linker.Call(ctx, vm, &peerv1.Envelope{Identity: &peerv1.Identity{Log: name}})
+	if err != nil {
+		return "", err
+	}
+	id := replicator.NodeID(answer.GetIdentity().GetId())
+	if id == "" {
+		return "", Error.New("%s does not know its id yet", vm)
+	}
+	return id, nil
+}
--- /dev/null
+++ b/internal/server/peers.go
@@ -0,0 +1,59 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/leaser"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+)
+
+// HandlePeer implements linker.Handler.
+func (s *Server) HandlePeer(ctx context.Context, from identifier.VM, e *peerv1.Envelope) (*peerv1.Envelope, error) {
+	switch {
+	case e.GetLog() != nil:
+		if d := s.logs[e.GetLog().GetLog()]; d != nil {
+			d.Deliver(decodeLog(e.GetLog()))
+		}
+		return nil, nil
+	case e.GetProposal() != nil:
+		return s.handleProposal(ctx, from, e.GetProposal())
+	case e.GetPull() != nil:
+		return &peerv1.Envelope{Delta: s.delta(identifier.Revision(e.GetPull().GetRevision()))}, nil
+	case e.GetDelta() != nil:
+		s.takeDelta(e.GetDelta())
+		return nil, nil
+	case e.GetEntryReport() != nil:
+		return s.handleReport(e.GetEntryReport())
+	case e.GetLeaseAsk() != nil:
+		return s.handleLeaseAsk(from, e.GetLeaseAsk())
+	case e.GetDigest() != nil:
+		s.locator.SetDigest(time.Now(), e.GetDigest())
+		return nil, nil
+	case e.GetIdentity() != nil:
+		return s.handleIdentity(e.GetIdentity())
+	}
+	return nil, Error.New("the message is of no known kind")
+}
+
+func (s *Server) handleIdentity(q *peerv1.Identity) (*peerv1.Envelope, error) {
+	d := s.logs[q.GetLog()]
+	if d == nil {
+		return nil, Error.New("this process holds no log %q", q.GetLog())
+	}
+	return &peerv1.Envelope{Identity: &peerv1.Identity{Log: q.GetLog(), Id: string(d.Status().ID)}}, nil
+}
+
+func (s *Server) handleLeaseAsk(from identifier.VM, a *peerv1.LeaseAsk) (*peerv1.Envelope, error) {
+	if identifier.FailureDomain(a.GetFailureDomain()) != s.Settings.FailureDomain || identifier.VM(a.GetVmId()) != from {
+		return nil, Error.New("the lease is not of this failure domain")
+	}
+	g := s.lease.answer(time.Now(), leaser.Ask{
+		Holder: from, Epoch: identifier.Epoch(a.GetEpoch()),
+		Duration: time.Duration(a.GetDurationMs()) * time.Millisecond,
+	})
+	return &peerv1.Envelope{LeaseGrant: &peerv1.LeaseGrant{
+		Granted: g.Granted, Epoch: uint64(g.Epoch), Holder: string(g.Holder),
+	}}, nil
+}
--- /dev/null
+++ b/internal/server/proposer.go
@@ -0,0 +1,173 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/claimer"
+	"trefoilhead.org/trefoilhead/internal/driver"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/linker"
+	"trefoilhead.org/trefoilhead/internal/replicator"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+)
+
+// proposeStep is the pause before a proposal is tried again.
+const proposeStep = 100 * time.Millisecond
+
+// errNoQuorum means that no leader of a log could be reached in time. The
+// proposal may still have been accepted.
+var errNoQuorum = errors.New("the control quorum cannot be reached from here")
+
+// propose runs a command through a log, at this process or at any voter, until
+// it gets a result or ctx ends. A command may be appended more than once, so
+// machines recognize repeated ones.
+func (s *Server) propose(ctx context.Context, logName string, data []byte) ([]byte, error) {
+	for ctx.Err() == nil {
+		for _, vm := range s.proposalOrder(logName) {
+			result, err := s.proposeAt(ctx, vm, logName, data)
+			if err == nil {
+				return result, nil
+			}
+			if ctx.Err() != nil {
+				return nil, errNoQuorum
+			}
+		}
+		pause(ctx, proposeStep)
+	}
+	return nil, errNoQuorum
+}
+
+// proposalOrder lists the voters to try, a known leader first.
+func (s *Server) proposalOrder(logName string) []identifier.VM {
+	var order []identifier.VM
+	if d := s.logs[logName]; d != nil {
+		if st := d.Status(); st.Leader != "" {
+			return []identifier.VM{st.Leader}
+		}
+	}
+	for _, p := range s.Settings.Peers {
+		if p.Voter && p.VM != s.Settings.VM {
+			order = append(order, p.VM)
+		}
+	}
+	if len(order) > 1 {
+		i := s.random.IntN(len(order))
+		order[0], order[i] = order[i], order[0]
+	}
+	return order
+}
+
+func (s *Server) proposeAt(ctx context.Context, vm identifier.VM, logName string, data []byte) ([]byte, error) {
+	if vm == s.Settings.VM {
+		return s.proposeHere(ctx, logName, data)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.Timing.Silence)
+	defer cancel()
+	answer, err := s.linker.Call(ctx, vm, &peerv1.Envelope{Proposal: &peerv1.Proposal{Log: logName, Data: data}})
+	if err != nil {
+		return nil, err
+	}
+	return answer.GetProposalResult().GetResult(), nil
+}
+
+func (s *Server) proposeHere(ctx context.Context, logName string, data []byte) ([]byte, error) {
+	d := s.logs[logName]
+	if d == nil {
+		return nil, driver.ErrNotLeader
+	}
+	return d.Propose(ctx, data)
+}
+
+// handleProposal runs a peer's command. A voter that does not lead passes it
+// on to the leader once.
+func (s *Server) handleProposal(ctx context.Context, from identifier.VM, p *peerv1.Proposal) (*peerv1.Envelope, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.Timing.Silence)
+	defer cancel()
+	result, err := s.proposeHere(ctx, p.GetLog(), p.GetData())
+	if errors.Is(err, driver.ErrNotLeader) {
+		leader := s.leaderOf(p.GetLog())
+		if leader == "" || leader == from || leader == s.Settings.VM {
+			return nil, err
+		}
+		result, err = s.proposeAt(ctx, leader, p.GetLog(), p.GetData())
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &peerv1.Envelope{ProposalResult: &peerv1.ProposalResult{Result: result}}, nil
+}
+
+func (s *Server) leaderOf(logName string) identifier.VM {
+	if d := s.logs[logName]; d != nil {
+		return d.Status().Leader
+	}
+	return ""
+}
+
+// claimRunner is the relayer's way to the claims log.
+type claimRunner struct{ s *Server }
+
+// Run implements relayer.Claims.
+func (c claimRunner) Run(ctx context.Context, cmd claimer.Command) (claimer.Outcome, error) {
+	var o claimer.Outcome
+	data, err := json.Marshal(cmd)
+	if err != nil {
+		return o, err
+	}
+	result, err := c.s.propose(ctx, claimsLog, data)
+	if err != nil {
+		return o, err
+	}
+	return o, json.Unmarshal(result, &o)
+}
+
+// logSender carries log messages over the links.
+type logSender struct{ l *linker.Linker }
+
+// SendLog implements driver.Sender.
+func (s logSender) SendLog(to identifier.VM, logName string, m replicator.Message) {
+	s.l.Send(to, &peerv1.Envelope{Log: encodeLog(logName, m)})
+}
+
+func encodeLog(logName string, m replicator.Message) *peerv1.LogMessage {
+	out := &peerv1.LogMessage{
+		Log: logName, Kind: uint32(m.Kind), From: string(m.From), To: string(m.To), Term: uint64(m.Term),
+		Index: uint64(m.Index), LogTerm: uint64(m.LogTerm), Commit: uint64(m.Commit), Reject: m.Reject,
+	}
+	for _, e := range m.Entries {
+		out.Entries = append(out.Entries, &peerv1.LogEntry{
+			Index: uint64(e.Index), Term: uint64(e.Term), Kind: uint32(e.Kind), Data: e.Data,
+		})
+	}
+	if m.Snapshot != nil {
+		out.Snapshot = &peerv1.Snapshot{Index: uint64(m.Snapshot.Index), Term: uint64(m.Snapshot.Term), Data: m.Snapshot.Data}
+		for _, v := range m.Snapshot.Voters {
+			out.Snapshot.Voters = append(out.Snapshot.Voters, string(v))
+		}
+	}
+	return out
+}
+
+func decodeLog(in *peerv1.LogMessage) replicator.Message {
+	m := replicator.Message{
+		Kind: replicator.MessageKind(in.GetKind()), From: replicator.NodeID(in.GetFrom()), To: replicator.NodeID(in.GetTo()),
+		Term: replicator.Term(in.GetTerm()), Index: replicator.Index(in.GetIndex()), LogTerm: replicator.Term(in.GetLogTerm()),
+		Commit: replicator.Index(in.GetCommit()), Reject: in.GetReject(),
+	}
+	for _, e := range in.GetEntries() {
+		m.Entries = append(m.Entries, replicator.Entry{
+			Index: replicator.Index(e.GetIndex()), Term: replicator.Term(e.GetTerm()),
+			Kind: replicator.EntryKind(e.GetKind()), Data: e.GetData(),
+		})
+	}
+	if s := in.GetSnapshot(); s != nil {
+		m.Snapshot = &replicator.Snapshot{Index: replicator.Index(s.GetIndex()), Term: replicator.Term(s.GetTerm()), Data: s.GetData()}
+		for _, v := range s.GetVoters() {
+			m.Snapshot.Voters = append(m.Snapshot.Voters, replicator.NodeID(v))
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/server/report.go
@@ -0,0 +1,171 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+)
+
+// reportState is what this entry has told the placement authority.
+type reportState struct {
+	mu        sync.Mutex
+	authority identifier.VM
+	epoch     uint64
+	// version is the registrar's version that the authority has.
+	version uint64
+	view    *peerv1.PlacementView
+	heard   time.Time
+}
+
+// sendReport tells the authority what has changed and takes its view.
+func (s *Server) sendReport(ctx context.Context) {
+	to := s.lease.knownHolder()
+	if to == "" {
+		return
+	}
+	now := time.Now()
+	report, version := s.buildReport(now, to)
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.Timing.Silence)
+	defer cancel()
+	var answer *peerv1.Envelope
+	var err error
+	if to == s.Settings.VM {
+		answer, err = s.handleReport(report)
+	} else {
+		answer, err = s.linker.Call(ctx, to, &peerv1.Envelope{EntryReport: report})
+	}
+	if err != nil || answer.GetPlacementView() == nil {
+		return
+	}
+	s.takeView(now, to, version, answer.GetPlacementView())
+}
+
+func (s *Server) buildReport(now time.Time, to identifier.VM) (*peerv1.EntryReport, uint64) {
+	r := &s.report
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.authority != to {
+		r.authority, r.epoch, r.version = to, 0, 0
+	}
+	changes := s.heard.Since(now, r.version)
+	out := &peerv1.EntryReport{
+		VmId: string(s.Settings.VM), Incarnation: uint64(s.Incarnation), Revision: uint64(s.config.Revision()),
+		Epoch: r.epoch, Full: r.version == 0, Changed: changes.Changed, Address: s.Settings.Self().Address,
+		Digests: s.locator.Digests(now),
+	}
+	if r.view != nil && r.view.GetAuthority() == string(to) {
+		out.ViewVersion = r.view.GetVersion()
+	}
+	for _, vm := range changes.Lost {
+		out.Lost = append(out.Lost, string(vm))
+	}
+	for _, g := range s.relayer.Owner.Status() {
+		out.Loads = append(out.Loads, &peerv1.GroupLoad{Group: string(g.Group), Running: g.Running + uint32(g.Waiting), Limit: g.Limit})
+	}
+	return out, changes.Version
+}
+
+// takeView takes the authority's answer. An answer of another epoch than the
+// report's means that the authority knows nothing of this entry yet.
+func (s *Server) takeView(asked time.Time, from identifier.VM, version uint64, v *peerv1.PlacementView) {
+	r := &s.report
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.authority != from {
+		return
+	}
+	if v.GetEpoch() == 0 {
+		// The authority lacks what was reported before.
+		r.epoch, r.version = 0, 0
+		return
+	}
+	s.heard.Repeat(asked, v.GetSilent())
+	if v.GetEpoch() != r.epoch {
+		r.epoch, r.version = v.GetEpoch(), 0
+	} else {
+		r.version = version
+	}
+	if v.GetFull() {
+		r.view = v
+	}
+	if r.view == nil || r.view.GetVersion() != v.GetVersion() {
+		return
+	}
+	r.heard = asked
+	for i, g := range r.view.GetGroups() {
+		if i < len(v.GetRunning()) {
+			g.Running, g.Limit = v.GetRunning()[i], v.GetLimits()[i]
+		}
+	}
+	fresh := cloneView(r.view)
+	fresh.Digests = v.GetDigests()
+	s.locator.SetView(asked, fresh)
+}
+
+// cloneView copies the parts of a view that change between answers, so that
+// readers of an earlier copy are not disturbed.
+func cloneView(v *peerv1.PlacementView) *peerv1.PlacementView {
+	out := &peerv1.PlacementView{
+		FailureDomain: v.GetFailureDomain(), Authority: v.GetAuthority(), Epoch: v.GetEpoch(), Version: v.GetVersion(),
+		Full: true, Entries: v.GetEntries(), OwnerLeaseMs: v.GetOwnerLeaseMs(), Stranded: v.GetStranded(),
+	}
+	for _, g := range v.GetGroups() {
+		out.Groups = append(out.Groups, &peerv1.GroupView{
+			Id: g.Id, Service: g.Service, Address: g.Address, Serving: g.Serving, Owner: g.Owner, Fence: g.Fence,
+			Model: g.Model, Version: g.Version, Adapters: g.Adapters, Concurrency: g.Concurrency,
+			Incarnation: g.Incarnation, State: g.State, Reason: g.Reason, Members: g.Members,
+			FabricDomain: g.FabricDomain, Running: g.Running, Limit: g.Limit, FirstOwner: g.FirstOwner,
+			ColdConcurrency: g.ColdConcurrency,
+		})
+	}
+	return out
+}
+
+// handleReport takes an entry's report, if this process is the authority.
+func (s *Server) handleReport(r *peerv1.EntryReport) (*peerv1.Envelope, error) {
+	now := time.Now()
+	for _, d := range r.GetDigests() {
+		s.locator.SetDigest(now, d)
+	}
+	a := &s.authority
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, held := s.lease.holds(now); !held || !a.active {
+		return nil, Error.New("this process is not the placement authority")
+	}
+	vm := identifier.VM(r.GetVmId())
+	e := a.entries[vm]
+	if e == nil && !r.GetFull() {
+		return &peerv1.Envelope{PlacementView: &peerv1.PlacementView{Authority: string(s.Settings.VM)}}, nil
+	}
+	if e == nil {
+		e = &entryRecord{}
+		a.entries[vm] = e
+	}
+	e.address, e.heard, e.revision = r.GetAddress(), now, identifier.Revision(r.GetRevision())
+	e.loads = map[identifier.Group]groupLoad{}
+	for _, l := range r.GetLoads() {
+		e.loads[identifier.Group(l.GetGroup())] = groupLoad{running: l.GetRunning(), limit: l.GetLimit()}
+	}
+	s.takeServers(now, vm, r)
+	return &peerv1.Envelope{PlacementView: s.answerReport(now, r.GetViewVersion(), r.GetEpoch())}, nil
+}
+
+func (s *Server) takeServers(now time.Time, entry identifier.VM, r *peerv1.EntryReport) {
+	a := &s.authority
+	for _, b := range r.GetChanged() {
+		server := decodeServer(b)
+		s.lease.observe(server.HighestFence.Epoch())
+		a.heardBy[server.VM] = entry
+		a.placer.Heard(now, server)
+	}
+	for _, id := range r.GetLost() {
+		vm := identifier.VM(id)
+		if a.heardBy[vm] == entry {
+			a.placer.Lost(now, vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/view.go
@@ -0,0 +1,180 @@
+package server
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/placer"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1"
+)
+
+// buildView makes the placement view that entries get. Its version changes
+// only when something but loads has changed.
+func (s *Server) buildView(now time.Time) {
+	a := &s.authority
+	v := &peerv1.PlacementView{
+		FailureDomain: string(s.Settings.FailureDomain), Authority: string(s.Settings.VM), Epoch: uint64(a.epoch),
+		Full: true, OwnerLeaseMs: uint32(s.Settings.Timing.OwnerLease.Milliseconds()),
+	}
+	for _, g := range a.placer.Groups() {
+		v.Groups = append(v.Groups, encodeGroup(g))
+	}
+	for vm, e := range a.entries {
+		if now.Sub(e.heard) <= s.Settings.Timing.Silence {
+			v.Entries = append(v.Entries, &peerv1.EntryView{VmId: string(vm), Address: e.address})
+		}
+	}
+	slices.SortFunc(v.Entries, func(x, y *peerv1.EntryView) int {
+		if x.GetVmId() < y.GetVmId() {
+			return -1
+		}
+		return 1
+	})
+	if a.view != nil {
+		v.Version = a.view.Version
+		if proto.Equal(v, a.view) {
+			return
+		}
+	}
+	a.version++
+	v.Version = a.version
+	a.view = v
+}
+
+func encodeGroup(g placer.GroupInfo) *peerv1.GroupView {
+	out := &peerv1.GroupView{
+		Id: string(g.ID), Service: string(g.Service), Address: g.Address, Serving: g.State == placer.Serving,
+		Owner: string(g.Owner), Fence: uint64(g.Fence), Model: g.Model, Version: g.Version, Adapters: g.Adapters,
+		Concurrency: g.Concurrency, ColdConcurrency: g.ColdConcurrency, Incarnation: uint64(g.Incarnation),
+		State: string(g.State), Reason: g.Reason, FabricDomain: string(g.FabricDomain), FirstOwner: g.FirstOwner,
+	}
+	for _, m := range g.Members {
+		out.Members = append(out.Members, string(m))
+	}
+	return out
+}
+
+// answerReport returns what an entry at a version lacks, and all loads.
+func (s *Server) answerReport(now time.Time, version, epoch uint64) *peerv1.PlacementView {
+	a := &s.authority
+	out := &peerv1.PlacementView{
+		FailureDomain: string(s.Settings.FailureDomain), Authority: string(s.Settings.VM), Epoch: uint64(a.epoch),
+		Version: a.version, Digests: s.locator.Digests(now),
+	}
+	if a.view == nil {
+		return out
+	}
+	if version != a.version || epoch != uint64(a.epoch) {
+		out.Full = true
+		out.Groups, out.Entries, out.OwnerLeaseMs = a.view.Groups, a.view.Entries, a.view.OwnerLeaseMs
+		for _, st := range a.placer.Stranded(now) {
+			out.Stranded = append(out.Stranded, &trefoilheadv1.StrandedVM{
+				VmId: string(st.VM), FailureDomain: string(s.Settings.FailureDomain),
+				Accelerators: st.Accelerators, Reason: st.Reason,
+			})
+		}
+	}
+	for _, vm := range a.placer.Silent() {
+		out.Silent = append(out.Silent, string(vm))
+	}
+	sums := a.sumLoads()
+	for _, g := range a.view.Groups {
+		l := sums[identifier.Group(g.GetId())]
+		out.Running = append(out.Running, l.running)
+		out.Limits = append(out.Limits, l.limit)
+	}
+	return out
+}
+
+func (a *authority) sumLoads() map[identifier.Group]groupLoad {
+	sums := map[identifier.Group]groupLoad{}
+	for _, e := range a.entries {
+		for g, l := range e.loads {
+			sum := sums[g]
+			sum.running += l.running
+			sum.limit += l.limit
+			sums[g] = sum
+		}
+	}
+	return sums
+}
+
+// digest returns the coarse state of this domain for the other ones.
+func (s *Server) digest() (*peerv1.Digest, bool) {
+	a := &s.authority
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.active || a.view == nil {
+		return nil, false
+	}
+	a.sequence++
+	d := &peerv1.Digest{
+		FailureDomain: string(s.Settings.FailureDomain), Authority: string(s.Settings.VM), Epoch: uint64(a.epoch),
+		Sequence: a.sequence, Revision: uint64(s.config.Revision()), Entries: someEntries(a.view.Entries, s.random),
+	}
+	sums := a.sumLoads()
+	byService := map[string]*peerv1.ServiceDigest{}
+	for _, g := range a.view.Groups {
+		if !g.GetServing() {
+			continue
+		}
+		sd := byService[g.GetService()]
+		if sd == nil {
+			sd = &peerv1.ServiceDigest{Service: g.GetService()}
+			byService[g.GetService()] = sd
+			d.Services = append(d.Services, sd)
+		}
+		l := sums[identifier.Group(g.GetId())]
+		sd.Serving++
+		sd.Running += l.running
+		sd.Limit += l.limit
+	}
+	return d, true
+}
+
+// digestEntries is the number of entries that a digest names.
+const digestEntries = 8
+
+func someEntries(all []*peerv1.EntryView, r *lockedRand) []*peerv1.EntryView {
+	if len(all) <= digestEntries {
+		return all
+	}
+	start := r.IntN(len(all))
+	var some []*peerv1.EntryView
+	for i := range digestEntries {
+		some = append(some, all[(start+i)%len(all)])
+	}
+	return some
+}
+
+// digestCopies is the number of entries of each other domain that a digest is
+// sent to; their reports carry it to their authority.
+const digestCopies = 2
+
+// sendDigest tells the other domains what this one can take.
+func (s *Server) sendDigest() {
+	d, ok := s.digest()
+	if !ok {
+		return
+	}
+	byDomain := map[identifier.FailureDomain][]identifier.VM{}
+	for _, p := range s.Settings.Peers {
+		if p.FailureDomain != s.Settings.FailureDomain {
+			byDomain[p.FailureDomain] = append(byDomain[p.FailureDomain], p.VM)
+		}
+	}
+	for _, vms := range byDomain {
+		for range min(digestCopies, len(vms)) {
+			s.linker.Send(vms[s.random.IntN(len(vms))], &peerv1.Envelope{Digest: d})
+		}
+	}
+}
+
+func sortedVMs(vms []identifier.VM) []identifier.VM {
+	slices.Sort(vms)
+	return vms
+}
