--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -235,6 +235,12 @@
 		j.state = *o.State
 	}
 	if o.Snapshot != nil {
+		// The term goes first: a snapshot must not be of a later term than it.
+		if o.State != nil {
+			if err := j.write(record{State: o.State}); err != nil {
+				return err
+			}
+		}
 		return j.SaveSnapshot(*o.Snapshot, o.Entries)
 	}
 	if o.State == nil && len(o.Entries) == 0 {
