--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -79,9 +79,9 @@
 	// PlacementLease is how long a failure domain's placement authority lasts
 	// without renewal.
 	PlacementLease time.Duration `yaml:"placement_lease" json:"placement_lease"`
-	// OwnerLease is how long an entry may send to a group that it owns without
-	// hearing from the placement authority.
-	OwnerLease time.Duration `yaml:"owner_lease" json:"owner_lease"`
+	// OwnerDoubt is how long an entry that may not be a group's only owner uses
+	// half of its limit, unless the group reports another owner's requests.
+	OwnerDoubt time.Duration `yaml:"owner_doubt" json:"owner_doubt"`
 	// OrderLife is the longest time for which an order may be under way.
 	OrderLife time.Duration `yaml:"order_life" json:"order_life"`
 	// ConfigPull is the time between two pulls of the configuration from a
@@ -113,7 +113,7 @@
 	defaultHeartbeat      = time.Second
 	defaultSilence        = 3 * time.Second
 	defaultPlacementLease = 5 * time.Second
-	defaultOwnerLease     = 15 * time.Second
+	defaultOwnerDoubt     = 15 * time.Second
 	defaultOrderLife      = 10 * time.Second
 	defaultConfigPull     = 2 * time.Second
 	defaultShutdown       = 10 * time.Minute
@@ -146,7 +146,7 @@
 	fill(&t.Heartbeat, defaultHeartbeat)
 	fill(&t.Silence, defaultSilence)
 	fill(&t.PlacementLease, defaultPlacementLease)
-	fill(&t.OwnerLease, defaultOwnerLease)
+	fill(&t.OwnerDoubt, defaultOwnerDoubt)
 	fill(&t.OrderLife, defaultOrderLife)
 	fill(&t.ConfigPull, defaultConfigPull)
 	fill(&t.Shutdown, defaultShutdown)
@@ -255,7 +255,7 @@
 	}{
 		{"silence", "heartbeat", t.Silence, t.Heartbeat},
 		{"placement_lease", "heartbeat", t.PlacementLease, t.Heartbeat},
-		{"owner_lease", "silence", t.OwnerLease, t.Silence},
+		{"owner_doubt", "silence", t.OwnerDoubt, t.Silence},
 		{"heartbeat", "zero", t.Heartbeat, 0},
 		{"log_tick", "zero", t.LogTick, 0},
 		{"order_life", "zero", t.OrderLife, 0},
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -50,7 +50,7 @@
 		PlainProfile: emulator.Profile{FirstToken: 5 * time.Millisecond, Warm: 16, Cold: 16},
 		Timing: configurer.Timing{
 			Heartbeat: 250 * time.Millisecond, Silence: time.Second, PlacementLease: 2 * time.Second,
-			OwnerLease: 4 * time.Second, OrderLife: 2 * time.Second, ConfigPull: 500 * time.Millisecond,
+			OwnerDoubt: 4 * time.Second, OrderLife: 2 * time.Second, ConfigPull: 500 * time.Millisecond,
 			Shutdown: 10 * time.Second,
 		},
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -16,7 +16,8 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 )
 
-// Ask is a request for a vote or its renewal.
+// Ask is a request for a vote or its renewal. A Duration of 0 gives the vote
+// back.
 type Ask struct {
 	Holder   identifier.VM
 	Epoch    identifier.Epoch
@@ -61,6 +62,9 @@
 		return refused
 	}
 	v.epoch, v.holder, v.until = a.Epoch, a.Holder, now.Add(a.Duration)
+	if a.Duration == 0 {
+		return refused
+	}
 	return Grant{Granted: true, Epoch: a.Epoch, Holder: a.Holder}
 }
 
@@ -131,6 +135,19 @@
 	}
 }
 
+// Abandon ends a round that was not won: later grants do not count. The Ask
+// that it returns gives the votes back, so that another candidate need not wait
+// until they run out.
+func (c *Candidate) Abandon() Ask {
+	c.granted = nil
+	return Ask{Holder: c.VM, Epoch: c.asking}
+}
+
+// Won reports whether the round that a began has won a majority.
+func (c *Candidate) Won(a Ask) bool {
+	return c.granted != nil && c.epoch == a.Epoch && c.until.Equal(c.asked.Add(c.Lease))
+}
+
 // Delay makes the candidate wait before its next Ask as a non-holder.
 func (c *Candidate) Delay(now time.Time, d time.Duration) { c.notAgain = now.Add(d) }
 
--- /dev/null
+++ b/internal/leaser/leaser_test.go
@@ -0,0 +1,200 @@
+package leaser
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+		_ = flag.Set("rapid.nofailfile", "true")
+	}
+	os.Exit(m.Run())
+}
+
+const lease = 5 * time.Second
+
+// member is one entry VM: a voter without a disk and a candidate. Its clock
+// may stand still while the process is paused, but never runs ahead.
+type member struct {
+	voter     Voter
+	candidate Candidate
+}
+
+// message is an ask or a grant under way.
+type message struct {
+	from, to identifier.VM
+	ask      *Ask
+	grant    *Grant
+	round    Ask
+}
+
+type domain struct {
+	now     time.Time
+	members map[identifier.VM]*member
+	ids     []identifier.VM
+	flying  []message
+	// epochs notes who held each epoch.
+	epochs map[identifier.Epoch]identifier.VM
+	// restarted is set once a voter has forgotten the epochs it knew; they grow
+	// again from what engines tell.
+	restarted bool
+}
+
+func newDomain(n int) *domain {
+	d := &domain{now: time.Unix(0, 0), members: map[identifier.VM]*member{}, epochs: map[identifier.Epoch]identifier.VM{}}
+	for i := range n {
+		d.ids = append(d.ids, identifier.VM(fmt.Sprint("e", i)))
+	}
+	for _, id := range d.ids {
+		d.start(id)
+	}
+	return d
+}
+
+// start runs a member as a new process that remembers nothing.
+func (d *domain) start(id identifier.VM) {
+	m := &member{voter: Voter{MaxLease: lease}, candidate: Candidate{VM: id, Voters: d.ids, Lease: lease}}
+	m.voter.Start(d.now)
+	d.members[id] = m
+}
+
+func (d *domain) ask(id identifier.VM) {
+	a, ok := d.members[id].candidate.Ask(d.now)
+	if !ok {
+		return
+	}
+	d.sendAll(id, a)
+}
+
+func (d *domain) abandon(id identifier.VM) {
+	if !d.members[id].candidate.Holds(d.now) {
+		d.sendAll(id, d.members[id].candidate.Abandon())
+	}
+}
+
+func (d *domain) sendAll(id identifier.VM, a Ask) {
+	for _, v := range d.ids {
+		d.flying = append(d.flying, message{from: id, to: v, ask: &a})
+	}
+}
+
+// deliver hands over one message. Answers to a member's earlier process reach
+// its present one, as on a network that repeats messages.
+func (d *domain) deliver(i int) {
+	m := d.flying[i]
+	d.flying = append(d.flying[:i:i], d.flying[i+1:]...)
+	if m.ask != nil {
+		g := d.members[m.to].voter.Answer(d.now, *m.ask)
+		d.flying = append(d.flying, message{from: m.to, to: m.from, grant: &g})
+		return
+	}
+	d.members[m.to].candidate.Hear(d.now, m.from, *m.grant)
+}
+
+func (d *domain) holders() []identifier.VM {
+	var holders []identifier.VM
+	for _, id := range d.ids {
+		if d.members[id].candidate.Holds(d.now) {
+			holders = append(holders, id)
+		}
+	}
+	return holders
+}
+
+// TestOneHolder checks that there is never more than one holder and that no
+// epoch is held by two, however messages are delayed and members restart.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDomain(rapid.IntRange(1, 5).Draw(t, "members"))
+		d.now = d.now.Add(lease)
+		mayRestart := rapid.Bool().Draw(t, "may_restart")
+		id := func(t *rapid.T) identifier.VM { return rapid.SampledFrom(d.ids).Draw(t, "id") }
+		t.Repeat(map[string]func(*rapid.T){
+			"ask":     func(t *rapid.T) { d.ask(id(t)) },
+			"abandon": func(t *rapid.T) { d.abandon(id(t)) },
+			"restart": func(t *rapid.T) {
+				if mayRestart {
+					d.start(id(t))
+					d.restarted = true
+				}
+			},
+			"wait": func(t *rapid.T) {
+				d.now = d.now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"deliver": func(t *rapid.T) {
+				for range rapid.IntRange(0, 10).Draw(t, "messages") {
+					if len(d.flying) > 0 {
+						d.deliver(rapid.IntRange(0, len(d.flying)-1).Draw(t, "which"))
+					}
+				}
+			},
+			"lose": func(t *rapid.T) {
+				if len(d.flying) > 0 {
+					i := rapid.IntRange(0, len(d.flying)-1).Draw(t, "which")
+					d.flying = append(d.flying[:i:i], d.flying[i+1:]...)
+				}
+			},
+			"": func(t *rapid.T) { d.check(t) },
+		})
+	})
+}
+
+func (d *domain) check(t *rapid.T) {
+	holders := d.holders()
+	if len(holders) > 1 {
+		t.Fatalf("%v hold the lease at once", holders)
+	}
+	for _, id := range holders {
+		e := d.members[id].candidate.Epoch()
+		if old, ok := d.epochs[e]; ok && old != id && !d.restarted {
+			t.Fatalf("epoch %d was held by %s and %s", e, old, id)
+		}
+		d.epochs[e] = id
+	}
+}
+
+// TestSplitVotesEnd lets both voters of a domain of two ask at the same moment.
+// Once they have given their votes back, the one that asks next wins.
+func TestSplitVotesEnd(t *testing.T) {
+	d := newDomain(2)
+	d.now = d.now.Add(lease)
+	deliverAll := func() {
+		for len(d.flying) > 0 {
+			d.deliver(0)
+		}
+	}
+	// Each hears its own ask first.
+	for _, id := range d.ids {
+		a, _ := d.members[id].candidate.Ask(d.now)
+		d.members[id].candidate.Hear(d.now, id, d.members[id].voter.Answer(d.now, a))
+		for _, other := range d.ids {
+			if other != id {
+				d.flying = append(d.flying, message{from: id, to: other, ask: &a})
+			}
+		}
+	}
+	deliverAll()
+	if h := d.holders(); len(h) != 0 {
+		t.Fatalf("%v won a split vote", h)
+	}
+	for _, id := range d.ids {
+		d.abandon(id)
+	}
+	deliverAll()
+	d.members["e0"].candidate.Delay(d.now, 0)
+	d.ask("e0")
+	deliverAll()
+	if h := d.holders(); len(h) != 1 || h[0] != "e0" {
+		t.Errorf("after the split the holders are %v, want e0", h)
+	}
+}
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -21,11 +21,8 @@
 type Locator struct {
 	VM     identifier.VM
 	Domain identifier.FailureDomain
-	// OwnerLease is how long this entry may send to its groups after the
-	// authority's last word.
-	OwnerLease time.Duration
 	// OwnerDoubt is the time after which an owner without word from the
-	// authority uses half its limits, since another may have been appointed.
+	// authority doubts that it is the only one.
 	OwnerDoubt time.Duration
 	// DigestAge is how old a digest may be before its domain counts as cut off.
 	DigestAge time.Duration
@@ -39,9 +36,7 @@
 	teams   map[string]declarer.Team
 	service map[identifier.Service]declarer.Service
 	// owned notes when this entry became owner of each group.
-	owned map[identifier.Group]time.Time
-	// started is when the first view arrived.
-	started time.Time
+	owned map[identifier.Group]bool
 }
 
 type digest struct {
@@ -71,9 +66,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = asked
-	if l.started.IsZero() {
-		l.started = asked
-	}
 	for _, d := range v.GetDigests() {
 		l.setDigest(asked, d)
 	}
@@ -82,20 +74,14 @@
 	}
 	l.view = v
 	l.groups = map[identifier.Group]*peerv1.GroupView{}
-	owned := map[identifier.Group]time.Time{}
+	l.owned = map[identifier.Group]bool{}
 	for _, g := range v.GetGroups() {
 		id := identifier.Group(g.GetId())
 		l.groups[id] = g
-		if identifier.VM(g.GetOwner()) != l.VM {
-			continue
-		}
-		since, ok := l.owned[id]
-		if !ok {
-			since = asked
+		if identifier.VM(g.GetOwner()) == l.VM {
+			l.owned[id] = true
 		}
-		owned[id] = since
 	}
-	l.owned = owned
 }
 
 // SetDigest takes another domain's digest.
@@ -288,31 +274,28 @@
 
 // Holds.
 const (
-	// NoHold means that this entry does not own the group, or not any more.
+	// NoHold means that this entry does not own the group.
 	NoHold Hold = iota
-	// HalfHold allows half the limit: another owner may have the other half.
-	HalfHold
-	// FullHold allows the whole limit.
-	FullHold
+	// DoubtedHold means that another entry may own the group too: an earlier
+	// owner that has not heard of its successor, or a successor that this one
+	// has not heard of.
+	DoubtedHold
+	// SoleHold means that no other entry can own the group.
+	SoleHold
 )
 
-// Owned returns a group and this entry's right to send to it. The right
-// shrinks while the authority is silent and grows back one lease after a
-// takeover, so that the old owner's and the new owner's limits never add up to
-// more than the group's.
+// Owned returns a group and this entry's right to send to it.
 func (l *Locator) Owned(now time.Time, id identifier.Group) (*peerv1.GroupView, Hold) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	g := l.groups[id]
-	since, owned := l.owned[id]
-	silent := now.Sub(l.heard)
 	switch {
-	case g == nil || !owned || silent > l.OwnerLease:
+	case g == nil || !l.owned[id]:
 		return g, NoHold
-	case silent > l.OwnerDoubt, now.Sub(since) < l.OwnerLease && !g.GetFirstOwner():
-		return g, HalfHold
+	case now.Sub(l.heard) > l.OwnerDoubt, !g.GetFirstOwner():
+		return g, DoubtedHold
 	}
-	return g, FullHold
+	return g, SoleHold
 }
 
 // OwnedGroups returns the groups that this entry owns, for reports.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/zeebo/errs"
@@ -52,6 +53,18 @@
 	Remove    []declarer.Key      `json:"remove,omitempty"`
 	Drain     *Drain              `json:"drain,omitempty"`
 	Undrain   *Drain              `json:"undrain,omitempty"`
+	// Witness is a vote for a placement authority. It changes no revision.
+	Witness *Vote `json:"witness,omitempty"`
+}
+
+// Vote is the log's vote for the placement authority of a failure domain with
+// an even number of entry VMs. It is taken only if After is the number of votes
+// for that domain so far, so that whoever proposes it knew the last one.
+type Vote struct {
+	Domain identifier.FailureDomain `json:"domain"`
+	Holder identifier.VM            `json:"holder"`
+	Epoch  identifier.Epoch         `json:"epoch"`
+	After  uint64                   `json:"after"`
 }
 
 // Code tells how a Change ended.
@@ -99,6 +112,7 @@
 	// order lists the request ids of outcomes, oldest first.
 	order   []string
 	history []Accept
+	votes   map[identifier.FailureDomain]Vote
 	// winners maps a revision to the request id that made it.
 	winners map[identifier.Revision]string
 }
@@ -111,6 +125,7 @@
 	Outcomes map[string]Outcome             `json:"outcomes"`
 	Order    []string                       `json:"order"`
 	Winners  map[identifier.Revision]string `json:"winners"`
+	Votes    []Vote                         `json:"votes,omitempty"`
 }
 
 // Apply takes a Change in its JSON form from the log and returns the Outcome
@@ -122,9 +137,31 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return encode(Outcome{Code: Invalid, Revision: s.revision})
 	}
+	if c.Witness != nil {
+		return encode(s.vote(*c.Witness))
+	}
 	return encode(s.apply(c, data))
 }
 
+func (s *State) vote(v Vote) Outcome {
+	if v.After != s.votes[v.Domain].After {
+		return Outcome{Code: Conflict, Revision: s.revision}
+	}
+	if s.votes == nil {
+		s.votes = map[identifier.FailureDomain]Vote{}
+	}
+	v.After++
+	s.votes[v.Domain] = v
+	return Outcome{Code: Accepted, Revision: s.revision}
+}
+
+// Vote returns the last vote for a domain; its After counts the votes so far.
+func (s *State) Vote(d identifier.FailureDomain) Vote {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.votes[d]
+}
+
 func (s *State) apply(c Change, data []byte) Outcome {
 	if o, ok := s.outcomes[c.RequestID]; ok {
 		o.Replayed = true
@@ -264,6 +301,10 @@
 		s.drains[d] = true
 	}
 	s.outcomes, s.order, s.winners = in.Outcomes, in.Order, in.Winners
+	s.votes = map[identifier.FailureDomain]Vote{}
+	for _, v := range in.Votes {
+		s.votes[v.Domain] = v
+	}
 	if s.winners == nil {
 		s.winners = map[identifier.Revision]string{}
 	}
@@ -274,10 +315,15 @@
 func (s *State) Snapshot() []byte {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return encode(stored{
+	out := stored{
 		Revision: s.revision, Objects: s.sortedObjects(), Drains: s.sortedDrains(),
 		Outcomes: s.outcomes, Order: s.order, Winners: s.winners,
-	})
+	}
+	for _, v := range s.votes {
+		out.Votes = append(out.Votes, v)
+	}
+	slices.SortFunc(out.Votes, func(a, b Vote) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
+	return encode(out)
 }
 
 // Since returns the changes after revision r. Its second value is false when
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -141,15 +141,17 @@
 	return false
 }
 
-// Load returns the last load report of a VM and its age.
-func (r *Registrar) Load(now time.Time, vm identifier.VM) (*trefoilheadv1.Load, time.Duration, bool) {
+// Running returns the number of requests that a VM last reported, and false
+// when it announces itself elsewhere or not at all.
+func (r *Registrar) Running(now time.Time, vm identifier.VM) (uint32, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expire(now)
 	s := r.servers[vm]
 	if s == nil || s.lost {
-		return nil, 0, false
+		return 0, false
 	}
-	return s.load, now.Sub(s.heard), true
+	return s.load.GetRunning(), true
 }
 
 // Servers returns the last announcements, sorted by VM, for the state dump.
--- a/internal/relayer/caller.go
+++ b/internal/relayer/caller.go
@@ -196,8 +196,14 @@
 	return team, nil
 }
 
+// bodyTime bounds how long a caller may take to send a request's body.
+const bodyTime = time.Minute
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refuser.Refusal) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTime))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/relayer/gate.go
+++ b/internal/relayer/gate.go
@@ -14,11 +14,24 @@
 
 // gate admits requests to one group that this entry owns.
 type gate struct {
-	mu      sync.Mutex
-	ramp    limiter.Ramp
-	hold    locator.Hold
-	running uint32
-	queue   sharer.Queue[chan bool]
+	mu   sync.Mutex
+	ramp limiter.Ramp
+	hold locator.Hold
+	// doubted is when doubt about other owners began; zero without doubt.
+	doubted time.Time
+	// foreign is when the replica last reported requests that are not from
+	// here.
+	foreign time.Time
+	// doubtTime is how long nothing foreign must have been seen before a
+	// doubted owner uses the whole limit.
+	doubtTime time.Duration
+	// peak and lastPeak are the most requests that ran in the present and the
+	// previous span of peakTime.
+	peak     uint32
+	lastPeak uint32
+	peakFrom time.Time
+	running  uint32
+	queue    sharer.Queue[chan bool]
 	// maxQueue bounds all waiting requests.
 	maxQueue    int
 	incarnation identifier.Incarnation
@@ -33,13 +46,41 @@
 // limit returns the number of requests that may run now.
 func (g *gate) limit() uint32 {
 	l := g.ramp.Limit()
-	switch g.hold {
-	case locator.FullHold:
-		return l
-	case locator.HalfHold:
+	switch {
+	case g.hold == locator.NoHold:
+		return 0
+	case g.hold == locator.DoubtedHold && g.maybeShared(time.Now()):
 		return (l + 1) / 2
 	}
-	return 0
+	return l
+}
+
+// maybeShared reports whether another owner may be sending to the replica. Two
+// owners in doubt use half the limit each. One alone goes back to the whole
+// limit after the replica has reported no foreign requests for a while.
+func (g *gate) maybeShared(now time.Time) bool {
+	return now.Sub(g.doubted) < g.doubtTime || now.Sub(g.foreign) < g.doubtTime
+}
+
+const (
+	// peakTime covers the lag of a load report.
+	peakTime = 3 * time.Second
+	// foreignSlack is the number of requests by which a report may exceed the
+	// peak without meaning another owner.
+	foreignSlack = 1
+)
+
+// observe compares the replica's report of running requests with this gate's
+// own.
+func (g *gate) observe(now time.Time, reported uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.peakFrom) > peakTime {
+		g.lastPeak, g.peak, g.peakFrom = g.peak, g.running, now
+	}
+	if reported > max(g.peak, g.lastPeak)+foreignSlack {
+		g.foreign = now
+	}
 }
 
 // admit waits until the request may run. The caller calls done afterwards if
@@ -47,7 +88,7 @@
 func (g *gate) admit(ctx context.Context, r *Request, wait time.Duration) *refuser.Refusal {
 	g.mu.Lock()
 	if g.running < g.limit() && g.queue.Len() == 0 {
-		g.running++
+		g.start()
 		g.mu.Unlock()
 		return nil
 	}
@@ -144,9 +185,14 @@
 	g.usual = time.Duration(usualWeight*float64(g.usual) + (1-usualWeight)*float64(d))
 }
 
+func (g *gate) start() {
+	g.running++
+	g.peak = max(g.peak, g.running)
+}
+
 func (g *gate) admitWaiting() {
 	for g.running < g.limit() && g.queue.Len() > 0 {
-		g.running++
+		g.start()
 		g.queue.Pop().Value <- true
 	}
 }
@@ -160,6 +206,9 @@
 	}
 	g.incarnation, g.address = inc, address
 	g.ramp.Cold, g.ramp.Warm = cold, warm
+	if hold == locator.DoubtedHold && g.hold != hold {
+		g.doubted = time.Now()
+	}
 	g.hold = hold
 	if hold == locator.NoHold {
 		g.turnAway()
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -22,6 +22,9 @@
 	Locator *locator.Locator
 	// Missing reports whether a member of the group is known to be silent.
 	Missing func(now time.Time, members []identifier.VM) bool
+	// Running returns the number of requests that a backend server last
+	// reported, and false when there is no fresh report.
+	Running func(now time.Time, vm identifier.VM) (uint32, bool)
 	Client  *http.Client
 	Bounds  Bounds
 
@@ -37,6 +40,8 @@
 	QueueLength   int
 	AnswerBytes   int
 	BodyBytes     int64
+	// OwnerDoubt is how long an owner that may have a rival uses half limits.
+	OwnerDoubt time.Duration
 	// ClaimRetention is how long finished claims are kept.
 	ClaimRetention time.Duration
 }
@@ -100,7 +105,7 @@
 		if o.gates == nil {
 			o.gates = map[identifier.Group]*gate{}
 		}
-		g = &gate{maxQueue: o.Bounds.QueueLength}
+		g = &gate{maxQueue: o.Bounds.QueueLength, doubtTime: o.Bounds.OwnerDoubt}
 		o.gates[id] = g
 	}
 	g.update(hold, identifier.Incarnation(view.GetIncarnation()), view.GetAddress(), view.GetColdConcurrency(), view.GetConcurrency())
@@ -130,8 +135,13 @@
 	}
 	for _, view := range o.Locator.OwnedGroups() {
 		id := identifier.Group(view.GetId())
-		if _, hold := o.Locator.Owned(now, id); hold != locator.NoHold {
-			o.update(id, hold)
+		_, hold := o.Locator.Owned(now, id)
+		if hold == locator.NoHold {
+			continue
+		}
+		g := o.update(id, hold)
+		if running, ok := o.Running(now, identifier.VM(view.GetMembers()[0])); ok {
+			g.observe(now, running)
 		}
 	}
 }
--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -39,6 +39,7 @@
 	heard    time.Time
 	loads    map[identifier.Group]groupLoad
 	revision identifier.Revision
+	leaving  bool
 }
 
 type groupLoad struct {
@@ -52,7 +53,7 @@
 		Learning:  s.Settings.Timing.Silence + 2*s.Settings.Timing.Heartbeat,
 	}}
 	s.authority.client = &http.Client{
-		Transport: newTransport(newDialer(s.Settings.Timing.Silence), s.tls),
+		Transport: newTransport(s.Network, s.tls),
 		Timeout:   s.Settings.Timing.Silence,
 	}
 }
@@ -105,7 +106,7 @@
 	loads := map[identifier.Group]uint32{}
 	for vm, e := range a.entries {
 		silent := now.Sub(e.heard)
-		if silent <= s.Settings.Timing.Silence {
+		if silent <= s.Settings.Timing.Silence && !e.leaving {
 			live = append(live, vm)
 		}
 		if silent > 2*s.Settings.Timing.Silence {
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -41,6 +41,7 @@
 // Apply implements driver.Machine.
 func (m configMachine) Apply(data []byte) []byte {
 	result := m.s.logged.Apply(data)
+	m.s.witness.noteVotes(time.Now(), &m.s.logged)
 	m.s.catchUpWithLog()
 	return result
 }
--- a/internal/server/lease.go
+++ b/internal/server/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 			voters = append(voters, p.VM)
 		}
 	}
+	if len(voters)%2 == 0 {
+		voters = append(voters, witnessVM)
+	}
 	now := time.Now()
 	l := &s.lease
 	l.voter = leaser.Voter{MaxLease: s.Settings.Timing.PlacementLease}
@@ -88,19 +92,41 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.Settings.Timing.PlacementLease/4)
+	s.askVoters(ctx, ask)
+	if s.lease.won(ask) {
+		return
+	}
+	if s.hasWitness() {
+		if g, ok := s.askWitness(ctx, ask); ok {
+			s.lease.hear(witnessVM, g)
+		}
+	}
+	if s.lease.won(ask) {
+		return
+	}
+	s.lease.mu.Lock()
+	wait := time.Duration(s.random.IntN(int(s.Settings.Timing.PlacementLease)))
+	s.lease.candidate.Delay(time.Now(), wait)
+	back := s.lease.candidate.Abandon()
+	s.lease.mu.Unlock()
+	s.askVoters(ctx, back)
+}
+
+// voteTime returns how long one step of a round may take, so that silent
+// voters leave time for the witness.
+func (s *Server) voteTime() time.Duration { return s.Settings.Timing.PlacementLease / 5 }
+
+func (s *Server) askVoters(ctx context.Context, ask leaser.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, s.voteTime())
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, vm := range s.lease.candidate.Voters {
+		if vm == witnessVM {
+			continue
+		}
 		wg.Go(func() { s.askVoter(ctx, vm, ask) })
 	}
 	wg.Wait()
-	if _, held := s.lease.holds(time.Now()); !held {
-		s.lease.mu.Lock()
-		wait := time.Duration(s.random.IntN(int(s.Settings.Timing.PlacementLease / 2)))
-		s.lease.candidate.Delay(time.Now(), wait)
-		s.lease.mu.Unlock()
-	}
 }
 
 func (s *Server) askVoter(ctx context.Context, vm identifier.VM, ask leaser.Ask) {
@@ -108,17 +134,26 @@
 	if vm == s.Settings.VM {
 		g = s.lease.answer(time.Now(), ask)
 	} else {
-		answer, err := s.linker.Call(ctx, vm, &peerv1.Envelope{LeaseAsk: &peerv1.LeaseAsk{
-			FailureDomain: string(s.Settings.FailureDomain), VmId: string(s.Settings.VM),
-			Epoch: uint64(ask.Epoch), DurationMs: uint32(ask.Duration.Milliseconds()),
-		}})
+		answer, err := s.linker.Call(ctx, vm, &peerv1.Envelope{LeaseAsk: encodeAsk(s.Settings.FailureDomain, ask)})
 		if err != nil || answer.GetLeaseGrant() == nil {
 			return
 		}
-		a := answer.GetLeaseGrant()
-		g = leaser.Grant{Granted: a.GetGranted(), Epoch: identifier.Epoch(a.GetEpoch()), Holder: identifier.VM(a.GetHolder())}
+		g = decodeGrant(answer.GetLeaseGrant())
 	}
-	s.lease.mu.Lock()
-	defer s.lease.mu.Unlock()
-	s.lease.candidate.Hear(time.Now(), vm, g)
+	s.lease.hear(vm, g)
+}
+
+func (l *leaseState) hear(from identifier.VM, g leaser.Grant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.candidate.Hear(time.Now(), from, g)
+}
+
+// won reports whether a round of asking has won the lease.
+func (l *leaseState) won(a leaser.Ask) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.candidate.Won(a)
 }
+
+func (s *Server) hasWitness() bool { return slices.Contains(s.lease.candidate.Voters, witnessVM) }
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -46,7 +46,21 @@
 	}
 }
 
-func newTransport(d *net.Dialer, c *credentials) *http.Transport {
+// Network opens connections and listeners.
+type Network interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	Listen(ctx context.Context, network, address string) (net.Listener, error)
+}
+
+// tcp is the Network of the operating system.
+type tcp struct{ *net.Dialer }
+
+// Listen implements Network.
+func (tcp) Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, network, address)
+}
+
+func newTransport(d Network, c *credentials) *http.Transport {
 	const (
 		idlePerHost = 256
 		idleTime    = 30 * time.Second
@@ -58,7 +72,7 @@
 }
 
 func (s *Server) listen(address string) (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	l, err := s.Network.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -28,6 +28,8 @@
 		return s.handleReport(e.GetEntryReport())
 	case e.GetLeaseAsk() != nil:
 		return s.handleLeaseAsk(from, e.GetLeaseAsk())
+	case e.GetWitnessAsk() != nil:
+		return s.handleWitnessAsk(ctx, from, e.GetWitnessAsk())
 	case e.GetDigest() != nil:
 		s.locator.SetDigest(time.Now(), e.GetDigest())
 		return nil, nil
@@ -57,3 +59,14 @@
 		Granted: g.Granted, Epoch: uint64(g.Epoch), Holder: string(g.Holder),
 	}}, nil
 }
+
+func encodeAsk(d identifier.FailureDomain, a leaser.Ask) *peerv1.LeaseAsk {
+	return &peerv1.LeaseAsk{
+		FailureDomain: string(d), VmId: string(a.Holder), Epoch: uint64(a.Epoch),
+		DurationMs: uint32(a.Duration.Milliseconds()),
+	}
+}
+
+func decodeGrant(g *peerv1.LeaseGrant) leaser.Grant {
+	return leaser.Grant{Granted: g.GetGranted(), Epoch: identifier.Epoch(g.GetEpoch()), Holder: identifier.VM(g.GetHolder())}
+}
--- /dev/null
+++ b/internal/server/pipes_test.go
@@ -0,0 +1,264 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// pipes is a Network in memory. Hosts can be cut off from each other: their
+// connections stay open and go silent for good, and new ones are not answered
+// until the cut ends.
+type pipes struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	// hosts maps an address to the host that listens on it.
+	hosts map[string]string
+	cut   map[[2]string]bool
+	conns map[*pipeConn]bool
+}
+
+func newPipes() *pipes {
+	return &pipes{
+		listeners: map[string]*pipeListener{}, hosts: map[string]string{}, cut: map[[2]string]bool{},
+		conns: map[*pipeConn]bool{},
+	}
+}
+
+// host is one machine's view of the network.
+type host struct {
+	net  *pipes
+	name string
+}
+
+// Listen implements Network.
+func (h host) Listen(_ context.Context, _, address string) (net.Listener, error) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	l := &pipeListener{net: h.net, address: address, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	h.net.listeners[address] = l
+	h.net.hosts[address] = h.name
+	return l, nil
+}
+
+// DialContext implements Network.
+func (h host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	h.net.mu.Lock()
+	l, to := h.net.listeners[address], h.net.hosts[address]
+	isCut := h.net.cut[[2]string{h.name, to}]
+	h.net.mu.Unlock()
+	if isCut {
+		const dialBound = 3 * time.Second
+		pause(ctx, dialBound)
+		return nil, errors.New("the dial timed out")
+	}
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, far := h.net.connect(h.name, to)
+	select {
+	case l.incoming <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *pipes) connect(a, b string) (near, far *pipeConn) {
+	there, back := newPipeBuffer(), newPipeBuffer()
+	near = &pipeConn{net: p, from: a, to: b, in: back, out: there}
+	far = &pipeConn{net: p, from: b, to: a, in: there, out: back}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[near], p.conns[far] = true, true
+	return near, far
+}
+
+// setCut cuts two hosts off from each other, or ends the cut. Connections that
+// were open stay silent.
+func (p *pipes) setCut(a, b string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[[2]string{a, b}], p.cut[[2]string{b, a}] = cut, cut
+	if cut {
+		p.silence(a, b)
+	}
+}
+
+// silence makes the open connections between two hosts silent for good, while
+// new ones work.
+func (p *pipes) silence(a, b string) {
+	for c := range p.conns {
+		if c.from == a && c.to == b || c.from == b && c.to == a {
+			c.silent.Store(true)
+		}
+	}
+}
+
+func (p *pipes) loseTrack(a, b string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silence(a, b)
+}
+
+// kill closes all that a host has open, as the end of its process does.
+func (p *pipes) kill(name string) {
+	p.mu.Lock()
+	var conns []*pipeConn
+	for c := range p.conns {
+		if c.from == name {
+			conns = append(conns, c)
+		}
+	}
+	for address, h := range p.hosts {
+		if h == name {
+			delete(p.listeners, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+type pipeListener struct {
+	net      *pipes
+	address  string
+	incoming chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.incoming:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		if l.net.listeners[l.address] == l {
+			delete(l.net.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddr(l.address) }
+
+type pipeAddr string
+
+func (pipeAddr) Network() string  { return "pipe" }
+func (a pipeAddr) String() string { return string(a) }
+
+// pipeBuffer is one direction of a connection.
+type pipeBuffer struct {
+	mu       sync.Mutex
+	cond     *sync.Cond
+	data     bytes.Buffer
+	closed   bool
+	deadline time.Time
+	timer    *time.Timer
+}
+
+func newPipeBuffer() *pipeBuffer {
+	b := &pipeBuffer{}
+	b.cond = sync.NewCond(&b.mu)
+	return b
+}
+
+func (b *pipeBuffer) read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		switch {
+		case b.data.Len() > 0:
+			return b.data.Read(p)
+		case b.closed:
+			return 0, io.EOF
+		case !b.deadline.IsZero() && !time.Now().Before(b.deadline):
+			return 0, os.ErrDeadlineExceeded
+		}
+		b.cond.Wait()
+	}
+}
+
+func (b *pipeBuffer) write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, io.ErrClosedPipe
+	}
+	b.cond.Broadcast()
+	return b.data.Write(p)
+}
+
+func (b *pipeBuffer) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.cond.Broadcast()
+}
+
+func (b *pipeBuffer) setDeadline(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.deadline = t
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	if !t.IsZero() {
+		b.timer = time.AfterFunc(time.Until(t), b.cond.Broadcast)
+	}
+	b.cond.Broadcast()
+}
+
+// pipeConn is one end of a connection.
+type pipeConn struct {
+	net      *pipes
+	from, to string
+	in, out  *pipeBuffer
+	silent   atomic.Bool
+}
+
+func (c *pipeConn) Read(p []byte) (int, error) { return c.in.read(p) }
+
+func (c *pipeConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.out.write(p)
+}
+
+// Close ends both directions; the other end does not hear of it on a silent
+// connection.
+func (c *pipeConn) Close() error {
+	c.in.close()
+	if !c.silent.Load() {
+		c.out.close()
+	}
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	delete(c.net.conns, c)
+	return nil
+}
+
+func (c *pipeConn) LocalAddr() net.Addr                { return pipeAddr(c.from) }
+func (c *pipeConn) RemoteAddr() net.Addr               { return pipeAddr(c.to) }
+func (c *pipeConn) SetDeadline(t time.Time) error      { c.in.setDeadline(t); return nil }
+func (c *pipeConn) SetReadDeadline(t time.Time) error  { c.in.setDeadline(t); return nil }
+func (c *pipeConn) SetWriteDeadline(_ time.Time) error { return nil }
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -54,7 +54,7 @@
 	out := &peerv1.EntryReport{
 		VmId: string(s.Settings.VM), Incarnation: uint64(s.Incarnation), Revision: uint64(s.config.Revision()),
 		Epoch: r.epoch, Full: r.version == 0, Changed: changes.Changed, Address: s.Settings.Self().Address,
-		Digests: s.locator.Digests(now),
+		Digests: s.locator.Digests(now), Leaving: s.leaving.Load() || s.locator.EntryDrained(),
 	}
 	if r.view != nil && r.view.GetAuthority() == string(to) {
 		out.ViewVersion = r.view.GetVersion()
@@ -110,7 +110,7 @@
 func cloneView(v *peerv1.PlacementView) *peerv1.PlacementView {
 	out := &peerv1.PlacementView{
 		FailureDomain: v.GetFailureDomain(), Authority: v.GetAuthority(), Epoch: v.GetEpoch(), Version: v.GetVersion(),
-		Full: true, Entries: v.GetEntries(), OwnerLeaseMs: v.GetOwnerLeaseMs(), Stranded: v.GetStranded(),
+		Full: true, Entries: v.GetEntries(), Stranded: v.GetStranded(),
 	}
 	for _, g := range v.GetGroups() {
 		out.Groups = append(out.Groups, &peerv1.GroupView{
@@ -145,6 +145,7 @@
 		e = &entryRecord{}
 		a.entries[vm] = e
 	}
+	e.leaving = r.GetLeaving()
 	e.address, e.heard, e.revision = r.GetAddress(), now, identifier.Revision(r.GetRevision())
 	e.loads = map[identifier.Group]groupLoad{}
 	for _, l := range r.GetLoads() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -58,6 +58,8 @@
 	Incarnation identifier.Incarnation
 	// Seed makes the process's random choices repeatable.
 	Seed uint64
+	// Network opens connections and listeners; nil means TCP.
+	Network Network
 
 	config  recorder.State // in force here, follows the log or the peers
 	logged  recorder.State // the machine of the configuration log
@@ -73,6 +75,7 @@
 	random    *lockedRand
 	gossip    gossip
 	lease     leaseState
+	witness   witness
 	authority authority
 	report    reportState
 	leaving   atomic.Bool
@@ -106,6 +109,7 @@
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+		// Storage or a listener is gone: there is nothing to wait for.
 		_ = level.Error(s.Logger).Log("part", "server", "msg", "stopping after a failure", "err", err)
 	}
 	s.shutdown()
@@ -127,37 +131,41 @@
 	for _, p := range set.Peers {
 		addresses[p.VM] = p.Address
 	}
-	dialer := newDialer(set.Timing.Silence)
+	if s.Network == nil {
+		s.Network = tcp{newDialer(set.Timing.Silence)}
+	}
+	dialer := s.Network
 	s.linker = &linker.Linker{
 		VM: set.VM, Key: set.Keys.Peer, Addresses: addresses, Scheme: s.tls.scheme("ws"), Dialer: dialer,
 		TLS: s.tls.client(), Handler: s, Logger: s.Logger,
 		Heartbeat: set.Timing.Heartbeat, Silence: set.Timing.Silence,
 	}
 	s.locator = &locator.Locator{
-		VM: set.VM, Domain: set.FailureDomain, OwnerLease: set.Timing.OwnerLease,
+		VM: set.VM, Domain: set.FailureDomain,
 		OwnerDoubt: set.Timing.Silence - set.Timing.Heartbeat/2, DigestAge: 2 * set.Timing.Silence,
 	}
 	s.heard = &registrar.Registrar{Silence: set.Timing.Silence}
 	s.initRelayer(dialer, addresses)
 	s.initLease()
+	s.initWitness()
 	s.initAuthority()
 	s.initLogs()
 	s.initHTTP()
 	return nil
 }
 
-func (s *Server) initRelayer(dialer *net.Dialer, addresses map[identifier.VM]string) {
+func (s *Server) initRelayer(dialer Network, addresses map[identifier.VM]string) {
 	set := &s.Settings
 	bounds := relayer.Bounds{
 		QueueWait: set.Timing.QueueWait, FirstToken: set.Timing.FirstToken, BetweenTokens: set.Timing.BetweenTokens,
 		QueueLength: set.Limits.QueueLength, AnswerBytes: set.Limits.AnswerBytes, BodyBytes: set.Limits.BodyBytes,
-		ClaimRetention: set.Timing.ClaimRetention,
+		ClaimRetention: set.Timing.ClaimRetention, OwnerDoubt: set.Timing.OwnerDoubt,
 	}
 	client := &http.Client{Transport: newTransport(dialer, s.tls)}
 	s.relayer = &relayer.Relayer{
 		VM: set.VM, Locator: s.locator, Bounds: bounds, Claims: claimRunner{s}, Ready: s.notReady,
 		Policy: router.PrefixAffinity{Bound: affinityBound, Rand: rand.New(rand.NewPCG(s.Seed, 1))},
-		Owner:  &relayer.Owner{Locator: s.locator, Missing: s.heard.Missing, Client: client, Bounds: bounds},
+		Owner:  &relayer.Owner{Locator: s.locator, Missing: s.heard.Missing, Running: s.heard.Running, Client: client, Bounds: bounds},
 		Hop: &relayer.Hop{
 			Key: set.Keys.Peer, Addresses: addresses, Scheme: s.tls.scheme("http"), Client: client, Bounds: bounds,
 		},
--- /dev/null
+++ b/internal/server/system_test.go
@@ -0,0 +1,342 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"trefoilhead.org/trefoilhead/internal/emulator"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/refuser"
+	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1"
+)
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func TestAnswersAreWhole(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		for i := range 30 {
+			w.checkWhole(w.chat(fmt.Sprintf("entry-%s-1", worldDomains[i%3])))
+		}
+	})
+}
+
+func TestKeyedRequestRunsOnce(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		first := w.book("entry-a-1", "k", "once")
+		second := w.book("entry-b-1", "k", "once")
+		if !first.complete || second.body != first.body || w.runs("once") != 1 {
+			t.Errorf("ran %d times; %s; %s", w.runs("once"), first, second)
+		}
+		other := w.send("entry-c-1", "/services/booking/bookings", "another body", "other", "k")
+		if other.refusal == nil || other.refusal.Code != refuser.KeyReused || w.runs("other") != 0 {
+			t.Errorf("a reused key was not refused: %s", other)
+		}
+	})
+}
+
+// TestLostAnswerIsNotRunAgain lets the backend server run a keyed request and
+// lose its answer.
+func TestLostAnswerIsNotRunAgain(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.faults("booking", emulator.Faults{LoseAnswers: true})
+		first := w.book("entry-a-1", "k", "lost")
+		if first.refusal == nil || first.refusal.Statement != refuser.Unknown {
+			t.Errorf("a lost answer was not called unknown: %s", first)
+		}
+		w.faults("booking", emulator.Faults{})
+		second := w.book("entry-b-1", "k", "lost")
+		if second.refusal == nil || second.refusal.Code != refuser.KeyRunning || w.runs("lost") != 1 {
+			t.Errorf("after a lost answer the resend got %s; it ran %d times", second, w.runs("lost"))
+		}
+	})
+}
+
+func (w *world) faults(prefix string, f emulator.Faults) {
+	for vm, b := range w.backends {
+		if len(vm) >= len(prefix) && vm[:len(prefix)] == prefix {
+			b.server.SetFaults(f)
+		}
+	}
+}
+
+// TestEntryDiesBetweenClaimAndAnswer kills the entry that holds the claim
+// while the request runs, and resends through another.
+func TestEntryDiesBetweenClaimAndAnswer(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.faults("booking", emulator.Faults{Slow: 40})
+		done := make(chan answer, 1)
+		go func() { done <- w.book("entry-a-1", "k", "dies") }()
+		time.Sleep(time.Second)
+		w.kill("entry-a-1")
+		<-done
+		w.faults("booking", emulator.Faults{})
+		for range 10 {
+			a := w.book("entry-b-1", "k", "dies")
+			w.checkTruthful(a)
+			time.Sleep(time.Second)
+		}
+		if n := w.runs("dies"); n != 1 {
+			t.Errorf("the request ran %d times", n)
+		}
+	})
+}
+
+// TestBrokenStreamEndsWithAnError cuts streams at the engine after they began.
+func TestBrokenStreamEndsWithAnError(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.faults("engine", emulator.Faults{CutAfter: 3})
+		a := w.chat("entry-a-1")
+		if a.complete || a.tokens != 3 {
+			t.Errorf("a cut stream looks complete: %s", a)
+		}
+		if a.err == nil {
+			t.Errorf("a cut stream ended like a whole one: %s", a)
+		}
+	})
+}
+
+// TestMemberLost pauses one member of a group. Within the detection bound the
+// group gets nothing new, every request is answered whole, and the spare takes
+// the place.
+func TestMemberLost(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.backends["engine-a-1"].server.SetFaults(emulator.Faults{Paused: true})
+		w.net.kill("engine-a-1")
+		time.Sleep(detectionBound)
+		before := w.backends["engine-a-2"].server.Runs()
+		for range 20 {
+			w.checkWhole(w.chat("entry-a-1"))
+			w.checkWhole(w.chat("entry-a-2"))
+		}
+		if after := w.backends["engine-a-2"].server.Runs(); len(after) != len(before) && w.sameGroup("engine-a-1", "engine-a-2") {
+			t.Errorf("a group without a member got %d requests", len(after)-len(before))
+		}
+		w.eventually(time.Minute, "the group is rebuilt", func() bool { return w.groupsOf("a") == 2 })
+	})
+}
+
+// detectionBound is the time after which no request goes to a group with a
+// silent member: the silence bound and one heartbeat for the report.
+const detectionBound = 5 * time.Second
+
+func (w *world) sameGroup(a, b string) bool {
+	view, _ := w.entries["entry-a-1"].server.locator.View(time.Now())
+	for _, g := range view.GetGroups() {
+		found := 0
+		for _, m := range g.GetMembers() {
+			if m == a || m == b {
+				found++
+			}
+		}
+		if found == 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestFailureDomainTakenOut drains a failure domain: after a few seconds it
+// gets nothing new, no request fails, and it is used again after its return.
+func TestFailureDomainTakenOut(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		stream := make(chan answer, 1)
+		go func() { stream <- w.chat("entry-c-1") }()
+		time.Sleep(150 * time.Millisecond)
+		w.drain("c", true)
+		w.checkWhole(<-stream)
+		for range 10 {
+			w.checkWhole(w.chat("entry-c-1"))
+			w.checkWhole(w.chat("entry-a-2"))
+		}
+		time.Sleep(3 * time.Second)
+		before := w.executed("c")
+		for range 10 {
+			w.checkWhole(w.chat("entry-c-2"))
+		}
+		if n := w.executed("c") - before; n != 0 {
+			t.Errorf("the domain got %d requests after it was taken out", n)
+		}
+		w.drain("c", false)
+		time.Sleep(3 * time.Second)
+		w.checkWhole(w.chat("entry-c-1"))
+		if w.executed("c") == before {
+			t.Error("the domain is not used after its return")
+		}
+	})
+}
+
+func (w *world) drain(d identifier.FailureDomain, out bool) {
+	w.t.Helper()
+	ctx := context.Background()
+	op := w.operator("entry-a-1")
+	have, err := op.Get(ctx, connect.NewRequest(&trefoilheadv1.GetRequest{}))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	_, err = op.SetDrain(ctx, connect.NewRequest(&trefoilheadv1.SetDrainRequest{
+		RequestId: fmt.Sprintf("drain-%d", have.Msg.GetRevision()), ExpectedRevision: have.Msg.GetRevision(),
+		Drained: out, Target: &trefoilheadv1.Drain{Kind: "failure_domain", Id: string(d)},
+	}))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// TestCutOffDomain cuts a failure domain off. It goes on serving, says that it
+// is cut off, refuses truthfully what needs the quorum, and rebuilds a group.
+func TestCutOffDomain(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.cutDomain("c", true)
+		time.Sleep(15 * time.Second)
+		for range 10 {
+			w.checkWhole(w.chat("entry-c-1"))
+			w.checkWhole(w.chat("entry-a-1"))
+		}
+		a := w.book("entry-c-1", "k", "cut")
+		if a.refusal == nil || a.refusal.Statement != refuser.NotRun || w.runs("cut") != 0 {
+			t.Errorf("a keyed request in the cut-off domain: %s", a)
+		}
+		get, err := w.operator("entry-c-2").Get(context.Background(), connect.NewRequest(&trefoilheadv1.GetRequest{}))
+		if err != nil || !get.Msg.GetCutOff() || get.Msg.GetRevision() != 1 {
+			t.Errorf("the cut-off domain says %v, error %v", get, err)
+		}
+		w.drain("b", true)
+		w.net.kill("engine-c-1")
+		w.backends["engine-c-1"].server.SetFaults(emulator.Faults{Paused: true})
+		time.Sleep(detectionBound)
+		w.eventually(time.Minute, "the cut-off domain rebuilds its group", func() bool { return w.groupsOf("c") == 2 })
+		w.cutDomain("c", false)
+		w.eventually(10*time.Second, "the drain is in force in the returned domain", func() bool {
+			return w.entries["entry-c-2"].server.locator.DomainDrained("b")
+		})
+		if again := w.book("entry-c-1", "k", "cut"); !again.complete || w.runs("cut") != 1 {
+			t.Errorf("after the cut the same key got %s; it ran %d times", again, w.runs("cut"))
+		}
+	})
+}
+
+// TestSilentConnections makes every open connection of an entry silent while
+// new ones work. Requests settle truthfully, and soon all are whole again.
+func TestSilentConnections(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		for range 5 {
+			w.checkWhole(w.chat("entry-a-1"))
+		}
+		for other := range w.hosts(func(identifier.FailureDomain) bool { return true }) {
+			w.net.loseTrack("entry-a-1", other)
+		}
+		for range 5 {
+			w.checkTruthful(w.chat("entry-a-1"))
+		}
+		time.Sleep(10 * time.Second)
+		for range 5 {
+			w.checkWhole(w.chat("entry-a-1"))
+		}
+	})
+}
+
+// TestGracefulStop stops an entry while streams run through it, as their own
+// entry and as the owner of their group.
+func TestGracefulStop(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		const streams = 8
+		done := make(chan answer, streams)
+		for i := range streams {
+			go func() { done <- w.chat(fmt.Sprintf("entry-a-%d", i%2+1)) }()
+		}
+		time.Sleep(150 * time.Millisecond)
+		e := w.entries["entry-a-2"]
+		e.stop()
+		for range streams {
+			w.checkWhole(<-done)
+		}
+		if err := <-e.done; err != nil {
+			t.Error(err)
+		}
+		w.startEntry("entry-a-2")
+		time.Sleep(20 * time.Second)
+		w.checkWhole(w.chat("entry-a-2"))
+	})
+}
+
+// TestDiskLost wipes the disk of a voter. It comes back as no voter, and
+// operators make it one again.
+func TestDiskLost(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.kill("entry-b-1")
+		if err := os.RemoveAll(filepath.Join(w.folder, "entry-b-1")); err != nil {
+			t.Fatal(err)
+		}
+		w.startEntry("entry-b-1")
+		time.Sleep(10 * time.Second)
+		s := w.entries["entry-b-1"].server.logs[configLog].Status()
+		if s.ID == "entry-b-1" || len(s.Voters) != 0 {
+			t.Fatalf("a voter that lost its disk came back as %+v", s)
+		}
+		leader := string(w.entries["entry-a-1"].server.leaderOf(configLog))
+		for _, remove := range []bool{true, false} {
+			w.changeVoter("entry-b-1", remove)
+			time.Sleep(5 * time.Second)
+		}
+		if leader == "" {
+			t.Fatal("no leader")
+		}
+		s = w.entries["entry-b-1"].server.logs[configLog].Status()
+		if len(s.Voters) != 3 || s.Leader == "" {
+			t.Errorf("the new disk is not a voter: %+v", s)
+		}
+		w.drain("c", true)
+	})
+}
+
+// changeVoter sends the call to each log's leader, as the guide tells.
+func (w *world) changeVoter(vm string, remove bool) {
+	w.t.Helper()
+	var err error
+	for range 20 {
+		for entry := range w.entries {
+			_, err = w.operator(entry).ChangeVoter(context.Background(), connect.NewRequest(&trefoilheadv1.ChangeVoterRequest{VmId: vm, Remove: remove}))
+			if err == nil {
+				return
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	w.t.Fatal(err)
+}
+
+// TestRestartOfEverything stops all entries and starts them again: the
+// configuration is the last one, and groups go on without being formed anew.
+func TestRestartOfEverything(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		for i := range 50 {
+			w.drain("c", i%2 == 0)
+		}
+		time.Sleep(3 * time.Second)
+		for vm := range w.entries {
+			w.kill(vm)
+		}
+		for _, p := range w.peers {
+			w.startEntry(string(p.VM))
+		}
+		time.Sleep(time.Second)
+		w.waitForGroups(6)
+		for vm, e := range w.entries {
+			if r := e.server.config.Revision(); r != 51 {
+				t.Errorf("%s came back with revision %d, not 51", vm, r)
+			}
+			w.checkWhole(w.chat(vm))
+		}
+	})
+}
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -18,13 +18,13 @@
 	a := &s.authority
 	v := &peerv1.PlacementView{
 		FailureDomain: string(s.Settings.FailureDomain), Authority: string(s.Settings.VM), Epoch: uint64(a.epoch),
-		Full: true, OwnerLeaseMs: uint32(s.Settings.Timing.OwnerLease.Milliseconds()),
+		Full: true,
 	}
 	for _, g := range a.placer.Groups() {
 		v.Groups = append(v.Groups, encodeGroup(g))
 	}
 	for vm, e := range a.entries {
-		if now.Sub(e.heard) <= s.Settings.Timing.Silence {
+		if now.Sub(e.heard) <= s.Settings.Timing.Silence && !e.leaving {
 			v.Entries = append(v.Entries, &peerv1.EntryView{VmId: string(vm), Address: e.address})
 		}
 	}
@@ -70,7 +70,7 @@
 	}
 	if version != a.version || epoch != uint64(a.epoch) {
 		out.Full = true
-		out.Groups, out.Entries, out.OwnerLeaseMs = a.view.Groups, a.view.Entries, a.view.OwnerLeaseMs
+		out.Groups, out.Entries = a.view.Groups, a.view.Entries
 		for _, st := range a.placer.Stranded(now) {
 			out.Stranded = append(out.Stranded, &trefoilheadv1.StrandedVM{
 				VmId: string(st.VM), FailureDomain: string(s.Settings.FailureDomain),
