leaser: count grants for their own round only

Cause: a grant of an earlier round that came late counted for the holder's next round and stretched the lease beyond the voter's promise, so two holders were possible; after a graceful stop, accepted links of the stopped process lived on and granted votes for it; an operator's next read could miss its own write. Change: rounds are numbered; the linker closes accepted links; candidates ask the witness only when its vote decides; an accepted change is awaited at the entry that took it. Conclusion: one holder at a time, also with late messages.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -22,6 +22,8 @@
 	Holder   identifier.VM
 	Epoch    identifier.Epoch
 	Duration time.Duration
+	// Round tells the candidate's rounds of asking apart.
+	Round uint64
 }
 
 // Grant is the answer to an Ask. A refused one carries the highest epoch that
@@ -30,6 +32,8 @@
 	Granted bool
 	Epoch   identifier.Epoch
 	Holder  identifier.VM
+	// Round is that of the Ask.
+	Round uint64
 }
 
 // Voter is one entry VM's promise. Start is called before Answer.
@@ -48,7 +52,7 @@
 
 // Answer decides on an Ask that arrived now.
 func (v *Voter) Answer(now time.Time, a Ask) Grant {
-	refused := Grant{Epoch: v.epoch, Holder: v.holder}
+	refused := Grant{Epoch: v.epoch, Holder: v.holder, Round: a.Round}
 	held := now.Before(v.until)
 	if !held {
 		refused.Holder = ""
@@ -65,7 +69,7 @@
 	if a.Duration == 0 {
 		return refused
 	}
-	return Grant{Granted: true, Epoch: a.Epoch, Holder: a.Holder}
+	return Grant{Granted: true, Epoch: a.Epoch, Holder: a.Holder, Round: a.Round}
 }
 
 // Candidate is one entry VM's attempt to become or stay the authority.
@@ -80,6 +84,7 @@
 	asking   identifier.Epoch
 	highest  identifier.Epoch
 	asked    time.Time
+	round    uint64
 	granted  map[identifier.VM]bool
 	until    time.Time
 	notAgain time.Time
@@ -106,8 +111,9 @@
 		c.asking = c.highest
 	}
 	c.asked = now
+	c.round++
 	c.granted = map[identifier.VM]bool{}
-	return Ask{Holder: c.VM, Epoch: c.asking, Duration: c.Lease}, true
+	return Ask{Holder: c.VM, Epoch: c.asking, Duration: c.Lease, Round: c.round}, true
 }
 
 // Hear takes a voter's answer to the last Ask.
@@ -119,33 +125,40 @@
 		}
 		return
 	}
-	if g.Epoch != c.asking || c.granted == nil {
+	if g.Epoch != c.asking || g.Round != c.round || c.granted == nil {
 		return
 	}
 	c.granted[from] = true
+	if c.votes() > len(c.Voters)/2 {
+		c.epoch = c.asking
+		c.until = c.asked.Add(c.Lease)
+	}
+}
+
+func (c *Candidate) votes() int {
 	votes := 0
 	for _, v := range c.Voters {
 		if c.granted[v] {
 			votes++
 		}
 	}
-	if votes > len(c.Voters)/2 {
-		c.epoch = c.asking
-		c.until = c.asked.Add(c.Lease)
-	}
+	return votes
 }
 
+// LacksOne reports whether one more vote would win the present round.
+func (c *Candidate) LacksOne() bool { return c.votes() == len(c.Voters)/2 }
+
 // Abandon ends a round that was not won: later grants do not count. The Ask
 // that it returns gives the votes back, so that another candidate need not wait
 // until they run out.
 func (c *Candidate) Abandon() Ask {
 	c.granted = nil
-	return Ask{Holder: c.VM, Epoch: c.asking}
+	return Ask{Holder: c.VM, Epoch: c.asking, Round: c.round}
 }
 
 // Won reports whether the round that a began has won a majority.
 func (c *Candidate) Won(a Ask) bool {
-	return c.granted != nil && c.epoch == a.Epoch && c.until.Equal(c.asked.Add(c.Lease))
+	return a.Round == c.round && c.epoch == a.Epoch && c.votes() > len(c.Voters)/2
 }
 
 // Delay makes the candidate wait before its next Ask as a non-holder.
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -85,10 +85,12 @@
 	Heartbeat time.Duration
 	Silence   time.Duration
 
-	mu     sync.Mutex
-	links  map[identifier.VM]*link
-	closed bool
-	wg     sync.WaitGroup
+	mu    sync.Mutex
+	links map[identifier.VM]*link
+	// sessions are the accepted links.
+	sessions map[*session]bool
+	closed   bool
+	wg       sync.WaitGroup
 	// Counts for the state dump and for CAPACITY.
 	counts Counts
 }
@@ -156,6 +158,9 @@
 	for _, k := range l.links {
 		k.cancel()
 	}
+	for s := range l.sessions {
+		s.cancel()
+	}
 	l.mu.Unlock()
 	l.wg.Wait()
 }
@@ -203,6 +208,9 @@
 	defer cancel()
 	s := &session{linker: l, conn: c, ctx: ctx, cancel: cancel, slots: make(chan struct{}, handlersPerLink)}
 	defer s.close()
+	if !l.keep(s) {
+		return
+	}
 	for {
 		e, err := s.read(l.Silence)
 		if err != nil {
@@ -216,6 +224,30 @@
 	}
 }
 
+// keep notes an accepted link, and reports false when the Linker is closed.
+func (l *Linker) keep(s *session) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	if l.sessions == nil {
+		l.sessions = map[*session]bool{}
+	}
+	l.sessions[s] = true
+	l.wg.Add(1)
+	return true
+}
+
+func (l *Linker) drop(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sessions[s] {
+		delete(l.sessions, s)
+		l.wg.Done()
+	}
+}
+
 // session is the accepting end of a link.
 type session struct {
 	linker *Linker
@@ -231,6 +263,7 @@
 	s.cancel()
 	_ = s.conn.CloseNow()
 	s.wg.Wait()
+	s.linker.drop(s)
 }
 
 func (s *session) read(silence time.Duration) (*peerv1.Envelope, error) {
--- a/internal/server/lease.go
+++ b/internal/server/lease.go
@@ -96,7 +96,7 @@
 	if s.lease.won(ask) {
 		return
 	}
-	if s.hasWitness() {
+	if s.hasWitness() && s.lease.lacksOne() {
 		if g, ok := s.askWitness(ctx, ask); ok {
 			s.lease.hear(witnessVM, g)
 		}
@@ -149,6 +149,12 @@
 	l.candidate.Hear(time.Now(), from, g)
 }
 
+func (l *leaseState) lacksOne() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.candidate.LacksOne()
+}
+
 // won reports whether a round of asking has won the lease.
 func (l *leaseState) won(a leaser.Ask) bool {
 	l.mu.Lock()
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -85,9 +85,19 @@
 	case recorder.Invalid:
 		return nil, connect.NewError(connect.CodeInvalidArgument, Error.New("the change removes or drains what does not exist"))
 	}
+	o.s.waitForRevision(ctx, out.Revision)
 	return connect.NewResponse(&trefoilheadv1.ApplyResponse{Revision: uint64(out.Revision), Replayed: out.Replayed}), nil
 }
 
+// waitForRevision waits until a revision is in force here, so that operators
+// read their own writes. The change is accepted whether it gets that far or not.
+func (s *Server) waitForRevision(ctx context.Context, r identifier.Revision) {
+	const step = 10 * time.Millisecond
+	for s.config.Revision() < r && ctx.Err() == nil {
+		pause(ctx, step)
+	}
+}
+
 // Get returns the configuration in force at this process.
 func (o operator) Get(_ context.Context, req *connect.Request[trefoilheadv1.GetRequest]) (*connect.Response[trefoilheadv1.GetResponse], error) {
 	view := o.s.config.View()
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -53,20 +53,22 @@
 	}
 	g := s.lease.answer(time.Now(), leaser.Ask{
 		Holder: from, Epoch: identifier.Epoch(a.GetEpoch()),
-		Duration: time.Duration(a.GetDurationMs()) * time.Millisecond,
+		Duration: time.Duration(a.GetDurationMs()) * time.Millisecond, Round: a.GetRound(),
 	})
 	return &peerv1.Envelope{LeaseGrant: &peerv1.LeaseGrant{
-		Granted: g.Granted, Epoch: uint64(g.Epoch), Holder: string(g.Holder),
+		Granted: g.Granted, Epoch: uint64(g.Epoch), Holder: string(g.Holder), Round: g.Round,
 	}}, nil
 }
 
 func encodeAsk(d identifier.FailureDomain, a leaser.Ask) *peerv1.LeaseAsk {
 	return &peerv1.LeaseAsk{
 		FailureDomain: string(d), VmId: string(a.Holder), Epoch: uint64(a.Epoch),
-		DurationMs: uint32(a.Duration.Milliseconds()),
+		DurationMs: uint32(a.Duration.Milliseconds()), Round: a.Round,
 	}
 }
 
 func decodeGrant(g *peerv1.LeaseGrant) leaser.Grant {
-	return leaser.Grant{Granted: g.GetGranted(), Epoch: identifier.Epoch(g.GetEpoch()), Holder: identifier.VM(g.GetHolder())}
+	return leaser.Grant{
+		Granted: g.GetGranted(), Epoch: identifier.Epoch(g.GetEpoch()), Holder: identifier.VM(g.GetHolder()), Round: g.GetRound(),
+	}
 }
--- a/internal/server/witness.go
+++ b/internal/server/witness.go
@@ -89,7 +89,7 @@
 	}
 	d := identifier.FailureDomain(a.GetFailureDomain())
 	last := s.logged.Vote(d)
-	refused := &peerv1.Envelope{LeaseGrant: &peerv1.LeaseGrant{Epoch: uint64(last.Epoch), Holder: string(last.Holder)}}
+	refused := &peerv1.Envelope{LeaseGrant: &peerv1.LeaseGrant{Epoch: uint64(last.Epoch), Holder: string(last.Holder), Round: a.GetRound()}}
 	other := last.Holder != "" && last.Holder != from
 	switch {
 	case identifier.Epoch(a.GetEpoch()) < last.Epoch, other && identifier.Epoch(a.GetEpoch()) == last.Epoch:
@@ -111,5 +111,5 @@
 	if err := json.Unmarshal(result, &out); err != nil || out.Code != recorder.Accepted {
 		return refused, err
 	}
-	return &peerv1.Envelope{LeaseGrant: &peerv1.LeaseGrant{Granted: true, Epoch: a.GetEpoch(), Holder: string(from)}}, nil
+	return &peerv1.Envelope{LeaseGrant: &peerv1.LeaseGrant{Granted: true, Epoch: a.GetEpoch(), Holder: string(from), Round: a.GetRound()}}, nil
 }
