placer, router: keep machines sorted and correct loads by own sends since the report

Cause: each step sorted all machines several times; the correction of a load report by this entry's own requests ignored those sent since the report unless they exceeded it, so entries herded. Change: machines are kept in order; a report is corrected by the change of this entry's own requests since it came. Measurements on simulated time for domain moves, disturbances of groups and the spread of configuration changes.

--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -23,8 +23,10 @@
 	// roll returns a number from 0 to n-1; it decides what the network does.
 	roll func(n int) int
 	// chaos is the number of orders in a hundred that meet a fault.
-	chaos  int
-	loads  map[identifier.Group]uint32
+	chaos int
+	loads map[identifier.Group]uint32
+	// events are due at their times.
+	events []event
 	orders int
 	joins  int
 }
@@ -42,6 +44,11 @@
 	sent []announcement
 }
 
+type event struct {
+	at time.Time
+	do func()
+}
+
 type announcement struct {
 	s  Server
 	at time.Time
@@ -94,6 +101,13 @@
 // step advances the clock and everything on it once.
 func (f *fleet) step() {
 	f.now = f.now.Add(fleetStep)
+	f.events = slices.DeleteFunc(f.events, func(e event) bool {
+		if e.at.After(f.now) {
+			return false
+		}
+		e.do()
+		return true
+	})
 	for _, vm := range f.vms() {
 		f.stepEngine(f.engines[vm])
 	}
@@ -109,6 +123,11 @@
 	f.check()
 }
 
+// later does something after a while.
+func (f *fleet) later(d time.Duration, do func()) {
+	f.events = append(f.events, event{f.now.Add(d), do})
+}
+
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.step()
--- a/internal/placer/former.go
+++ b/internal/placer/former.go
@@ -132,7 +132,7 @@
 // fewest VMs left over.
 func (p *Placer) choose(now time.Time, w Want) []*machine {
 	free := map[identifier.FabricDomain][]*machine{}
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		if p.busy(now, m) == "" && m.server.Accelerators >= w.Accelerators {
 			free[m.server.FabricDomain] = append(free[m.server.FabricDomain], m)
 		}
@@ -285,7 +285,7 @@
 // Stranded returns every engine VM that is in no serving group, and why.
 func (p *Placer) Stranded(now time.Time) []Stranded {
 	var all []Stranded
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		if m.server.Kind != KindEngine {
 			continue
 		}
@@ -308,7 +308,7 @@
 // Silent returns the VMs that count as lost, sorted.
 func (p *Placer) Silent() []identifier.VM {
 	var all []identifier.VM
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		if m.lost {
 			all = append(all, m.server.VM)
 		}
--- a/internal/placer/groups.go
+++ b/internal/placer/groups.go
@@ -145,7 +145,7 @@
 
 // releaseStrays tells engines to leave groups that are not in the books.
 func (p *Placer) releaseStrays(now time.Time) {
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		s := m.server
 		if s.Kind != KindEngine || m.lost || m.pending != nil || s.Group == "" || s.State == EngineLeaving {
 			continue
@@ -160,7 +160,7 @@
 // checkDoubted asks idle engines what they run, once no earlier order can reach
 // them any more.
 func (p *Placer) checkDoubted(now time.Time) {
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		s := m.server
 		idle := s.Kind == KindEngine && !m.lost && m.pending == nil && m.group == "" && s.Group == ""
 		if idle && m.doubted && !now.Before(m.unsettled) {
@@ -171,7 +171,7 @@
 
 // stepPlain keeps one group of one member for each plain backend server.
 func (p *Placer) stepPlain(now time.Time) {
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		s := m.server
 		if s.Kind == KindEngine {
 			continue
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,6 +19,8 @@
 	learned time.Time
 	adopted bool
 	vms     map[identifier.VM]*machine
+	// sorted lists vms by id.
+	sorted  []*machine
 	groups  map[identifier.Group]*group
 	wants   []Want
 	drained map[identifier.VM]bool
@@ -75,6 +77,7 @@
 	p.learned = now.Add(p.Policy.Learning)
 	p.adopted = false
 	p.vms = map[identifier.VM]*machine{}
+	p.sorted = nil
 	p.groups = map[identifier.Group]*group{}
 	p.loads = map[identifier.Group]uint32{}
 	p.drained = map[identifier.VM]bool{}
@@ -114,6 +117,11 @@
 			m.doubted = true
 		}
 		p.vms[s.VM] = m
+		i, _ := slices.BinarySearchFunc(p.sorted, s.VM, func(m *machine, vm identifier.VM) int {
+			return strings.Compare(string(m.server.VM), string(vm))
+		})
+		m.server.VM = s.VM
+		p.sorted = slices.Insert(p.sorted, i, m)
 	}
 	if s.Incarnation < m.server.Incarnation {
 		return
@@ -242,7 +250,7 @@
 
 // adopt takes over the groups that engines say they are in.
 func (p *Placer) adopt(now time.Time) {
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		s := m.server
 		if s.Kind != KindEngine || s.Group == "" || p.groups[s.Group] != nil {
 			continue
@@ -290,7 +298,7 @@
 
 // expireOrders gives up orders that were not answered in time.
 func (p *Placer) expireOrders(now time.Time) {
-	for _, m := range p.sortedMachines() {
+	for _, m := range p.sorted {
 		if m.pending != nil && now.Sub(m.orderedAt) > p.Policy.JoinBound {
 			p.OrderEnded(now, Reply{Order: *m.pending})
 		}
@@ -306,15 +314,6 @@
 	return gs
 }
 
-func (p *Placer) sortedMachines() []*machine {
-	ms := make([]*machine, 0, len(p.vms))
-	for _, m := range p.vms {
-		ms = append(ms, m)
-	}
-	slices.SortFunc(ms, func(a, b *machine) int { return strings.Compare(string(a.server.VM), string(b.server.VM)) })
-	return ms
-}
-
 // send queues an order for m.
 func (p *Placer) send(now time.Time, m *machine, o Order) {
 	o.VM, o.Address, o.Incarnation = m.server.VM, m.server.Address, m.server.Incarnation
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -27,10 +28,12 @@
 	// Ready reports whether new work is taken, and why not.
 	Ready func() *refuser.Refusal
 
-	mu     sync.Mutex
-	sent   map[identifier.Group]uint32
-	budget limiter.Budget
-	stats  Stats
+	mu   sync.Mutex
+	sent map[identifier.Group]int64
+	// reported is sent as it was when the present load reports came.
+	reported map[identifier.Group]int64
+	budget   limiter.Budget
+	stats    Stats
 }
 
 // Stats counts what became of callers' requests.
@@ -54,7 +57,7 @@
 
 // Init prepares the relayer. It is called before any request.
 func (t *Relayer) Init() {
-	t.sent = map[identifier.Group]uint32{}
+	t.sent = map[identifier.Group]int64{}
 	t.budget = limiter.Budget{Share: retryShare, Burst: retryBurst}
 	t.stats.Refusals = map[refuser.Code]uint64{}
 }
@@ -85,6 +88,13 @@
 	forwarded bool
 }
 
+// NoteReports tells that the locator has new load reports.
+func (t *Relayer) NoteReports() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported = maps.Clone(t.sent)
+}
+
 // route sends a request until it is answered or a retry is not allowed. A
 // retry follows when the request certainly did not run, or when it may run
 // twice.
@@ -161,7 +171,7 @@
 		}
 		running := uint32(0)
 		for _, c := range t.candidates(s, a) {
-			running += max(c.Running, c.Sent)
+			running += c.Estimate()
 		}
 		loads[i].Running = running
 	}
@@ -175,11 +185,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := range cs {
-		mine := t.sent[cs[i].Group]
-		// The owner's report lags; what this entry has running is certain.
-		if mine > cs[i].Running {
-			cs[i].Sent = mine - cs[i].Running
-		}
+		id := cs[i].Group
+		// The reports lag; what this entry has sent and got back since then is
+		// certain.
+		cs[i].Sent = t.sent[id] - t.reported[id]
 	}
 	return cs
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,19 +23,24 @@
 	// Running and Limit are the owner's last report.
 	Running uint32
 	Limit   uint32
-	// Sent is the number of requests that this entry has running there beyond
-	// what the report can include.
-	Sent uint32
+	// Sent is the change in the number of requests that this entry has running
+	// there since the report.
+	Sent int64
 }
 
 // load returns the share of the limit in use; more than 1 is a queue.
 func (c Candidate) load() float64 {
+	running := float64(c.Estimate())
 	if c.Limit == 0 {
-		return float64(c.Running+c.Sent) + 1
+		return running + 1
 	}
-	return float64(c.Running+c.Sent) / float64(c.Limit)
+	return running / float64(c.Limit)
 }
 
+// Estimate returns the number of requests running there now, as far as this
+// entry can tell.
+func (c Candidate) Estimate() uint32 { return uint32(max(int64(c.Running)+c.Sent, 0)) }
+
 // Prefix is a hash of the start of a prompt; 0 means that there is none.
 type Prefix uint64
 
--- /dev/null
+++ b/internal/server/measure_test.go
@@ -0,0 +1,130 @@
+package server
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/loader"
+	"trefoilhead.org/trefoilhead/internal/router"
+)
+
+// measure runs the measurements, which print figures and check integrity only.
+var measure = flag.Bool("measure", false, "run the measurements on the paused clock")
+
+// policies are the choices of a group that are compared.
+func policies() map[string]func() router.Policy {
+	r := func() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+	return map[string]func() router.Policy{
+		"round_robin":     func() router.Policy { return &router.RoundRobin{} },
+		"least_loaded":    func() router.Policy { return router.LeastLoaded{} },
+		"two_choices":     func() router.Policy { return router.TwoChoices{Rand: r()} },
+		"prefix_affinity": func() router.Policy { return router.PrefixAffinity{Bound: affinityBound, Rand: r()} },
+	}
+}
+
+// measureTokens is the length of the answers of measured load.
+const measureTokens = 32
+
+// shares are the loads that are measured, as shares of what remains.
+var shares = []float64{0.85}
+
+// offer sends chat load for a while and returns its report.
+func (w *world) offer(rate float64, d time.Duration, prefixes int) loader.TeamReport {
+	var entries []string
+	for _, p := range w.peers {
+		entries = append(entries, "http://"+string(p.VM)+":7001")
+	}
+	l := &loader.Load{
+		Entries: entries, Duration: d, Timeout: 30 * time.Second, Seed: uint64(time.Now().UnixNano()), Client: w.client,
+		Traffic: []loader.Traffic{{
+			Team: "team", APIKey: teamKey, Service: "chat", Rate: rate, Arrivals: loader.Poisson,
+			Tokens: measureTokens, PromptBytes: 200, Prefixes: prefixes,
+		}},
+	}
+	return l.Run(context.Background())[0]
+}
+
+// warmUp loads the groups until their limits have grown.
+func (w *world) warmUp(rate float64) { w.offer(rate, 30*time.Second, 0) }
+
+func printReport(name string, r loader.TeamReport) {
+	fmt.Printf("%-34s sent %5d complete %6.2f %% not_run %4d unknown %d broken %d wrong %d  first token ms p50 %.0f p95 %.0f p99 %.0f  between p95 %.0f %v\n",
+		name, r.Sent, 100*float64(r.Complete)/float64(max(r.Sent, 1)), r.NotRun, r.Unknown, r.Broken, r.Wrong,
+		r.FirstToken.P50, r.FirstToken.P95, r.FirstToken.P99, r.Between.P95, r.Codes)
+}
+
+// remainingRate is the number of requests per second that four warm groups
+// bear: 16 at once, each for a first token of 100 ms and 32 tokens of 20 ms.
+const remainingRate = 4 * 16 / (0.1 + measureTokens*0.02)
+
+// TestMeasureDomainMove measures service while a failure domain leaves and
+// returns.
+func TestMeasureDomainMove(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	for _, share := range shares {
+		for _, name := range []string{"round_robin", "least_loaded", "two_choices", "prefix_affinity"} {
+			inWorld(t, 2, func(w *world) {
+				for _, e := range w.entries {
+					e.server.relayer.Policy = policies()[name]()
+				}
+				rate := share * remainingRate
+				w.warmUp(rate)
+				title := fmt.Sprintf("%3.0f %% %s", 100*share, name)
+				printReport(title+" before", w.offer(rate, 10*time.Second, 0))
+				w.drain("c", true)
+				out := time.Now()
+				last := w.lastWork("c", out)
+				printReport(title+" leaving", w.offer(rate, 20*time.Second, 0))
+				fmt.Printf("%-34s last new work reached it %s after the call\n", title, last())
+				w.drain("c", false)
+				back := time.Now()
+				first := w.firstWork("c", back)
+				printReport(title+" returning", w.offer(rate, 20*time.Second, 0))
+				fmt.Printf("%-34s it took work again %s after the call\n", title, first())
+			})
+		}
+	}
+}
+
+// lastWork watches a domain and returns when work last reached it.
+func (w *world) lastWork(d identifier.FailureDomain, since time.Time) func() time.Duration {
+	stop := make(chan struct{})
+	last := make(chan time.Duration, 1)
+	go func() {
+		before, at := w.executed(d), time.Duration(0)
+		for {
+			select {
+			case <-stop:
+				last <- at
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			if n := w.executed(d); n != before {
+				before, at = n, time.Since(since)
+			}
+		}
+	}()
+	return func() time.Duration {
+		close(stop)
+		return <-last
+	}
+}
+
+func (w *world) firstWork(d identifier.FailureDomain, since time.Time) func() time.Duration {
+	first := make(chan time.Duration, 1)
+	go func() {
+		before := w.executed(d)
+		for w.executed(d) == before && time.Since(since) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		first <- time.Since(since)
+	}()
+	return func() time.Duration { return <-first }
+}
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -103,6 +103,7 @@
 	fresh := cloneView(r.view)
 	fresh.Digests = v.GetDigests()
 	s.locator.SetView(asked, fresh)
+	s.relayer.NoteReports()
 }
 
 // cloneView copies the parts of a view that change between answers, so that
--- /dev/null
+++ b/internal/server/spread_test.go
@@ -0,0 +1,176 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"trefoilhead.org/trefoilhead/internal/configurer"
+	"trefoilhead.org/trefoilhead/internal/declarer"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/linker"
+	"trefoilhead.org/trefoilhead/internal/locator"
+	"trefoilhead.org/trefoilhead/internal/recorder"
+)
+
+// newLearners starts n processes that only spread the configuration: the first
+// takes changes from a log, the others from their peers.
+func newLearners(t *testing.T, n int) []*Server {
+	t.Helper()
+	net := newPipes()
+	var peers []configurer.Peer
+	addresses := map[identifier.VM]string{}
+	for i := range n {
+		vm := identifier.VM(fmt.Sprintf("entry-%d", i))
+		peers = append(peers, configurer.Peer{VM: vm, FailureDomain: "d", Address: string(vm) + ":1"})
+		addresses[vm] = string(vm) + ":1"
+	}
+	var all []*Server
+	for i, p := range peers {
+		s := &Server{Settings: configurer.Settings{VM: p.VM, FailureDomain: "d", Peers: peers}, Logger: log.NewNopLogger()}
+		s.Settings.FillDefaults()
+		h := host{net, string(p.VM)}
+		s.random = &lockedRand{r: rand.New(rand.NewPCG(uint64(i), 1))}
+		s.locator = &locator.Locator{VM: p.VM, Domain: "d"}
+		s.linker = &linker.Linker{
+			VM: p.VM, Key: peerKey, Addresses: addresses, Scheme: "ws", Dialer: h, Handler: s, Logger: s.Logger,
+			Heartbeat: s.Settings.Timing.Heartbeat, Silence: s.Settings.Timing.Silence,
+		}
+		mux := http.NewServeMux()
+		mux.Handle(linker.Path, s.linker)
+		l, err := h.Listen(t.Context(), "tcp", p.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: mux}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		all = append(all, s)
+	}
+	return all
+}
+
+// runSpread runs the learners' loops until stop is called.
+func runSpread(t *testing.T, all []*Server) (stop func()) {
+	t.Helper()
+	for _, s := range all {
+		s.every(t.Context(), s.Settings.Timing.ConfigPull, func() { s.pullConfig(t.Context()) })
+		s.every(t.Context(), pushTime, s.pushConfig)
+	}
+	return func() {
+		for _, s := range all {
+			s.linker.Close()
+		}
+	}
+}
+
+// accept makes one change at the first process.
+func accept(t *testing.T, s *Server, n int) {
+	t.Helper()
+	c := recorder.Change{RequestID: fmt.Sprint("change-", n), Expected: s.logged.Revision()}
+	team := declarer.Team{ID: identifier.Team(fmt.Sprint("team-", n%50)), KeySHA256: hashOf(fmt.Sprint(n)), Weight: 1}
+	declared := declarer.Declarations{Teams: []declarer.Team{team}}
+	c.Put = declared.Objects()
+	data, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	configMachine{s}.Apply(data)
+}
+
+// TestChangesSpread requires that every process gets a burst of changes, and
+// that a process that was cut off during it catches up by itself.
+func TestChangesSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := newLearners(t, 24)
+		stop := runSpread(t, all)
+		for i := range 300 {
+			accept(t, all[0], i)
+		}
+		time.Sleep(10 * time.Second)
+		for _, s := range all {
+			if s.config.Revision() != 300 {
+				t.Errorf("%s is at revision %d after ten seconds, not 300", s.Settings.VM, s.config.Revision())
+			}
+		}
+		stop()
+	})
+}
+
+// TestMeasureSpread measures the time until a change is in force everywhere
+// and what that costs each process.
+func TestMeasureSpread(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	for _, n := range []int{9, 48, 95, 190, 380} {
+		synctest.Test(t, func(t *testing.T) {
+			all := newLearners(t, n)
+			stop := runSpread(t, all)
+			time.Sleep(20 * time.Second)
+			rest := bytesPerSecond(all, 20*time.Second)
+			// One change every 36 seconds is 2,400 a day.
+			var each []time.Duration
+			before := sumBytes(all)
+			start := time.Now()
+			for i := range 5 {
+				accept(t, all[0], i)
+				each = append(each, spreadTime(all)...)
+				time.Sleep(36*time.Second - time.Since(start)%(36*time.Second))
+			}
+			flowing := float64(sumBytes(all)-before) / time.Since(start).Seconds() / float64(n)
+			for i := range 300 {
+				accept(t, all[0], 5+i)
+			}
+			burst := slices.Max(spreadTime(all))
+			slices.Sort(each)
+			at := func(q float64) time.Duration { return each[int(q*float64(len(each)-1))] }
+			fmt.Printf("%3d processes: in force after p50 %v p99 %v max %v; burst of 300 in force everywhere after %v; sent per process %.0f B/s at rest, %.0f B/s at 2400 changes a day\n",
+				n, at(0.5), at(0.99), at(1), burst, rest, flowing)
+			stop()
+		})
+	}
+}
+
+// spreadTime waits until all have the first one's revision, and returns how
+// long each took.
+func spreadTime(all []*Server) []time.Duration {
+	start := time.Now()
+	took := make([]time.Duration, len(all))
+	for left := len(all); left > 0; {
+		left = 0
+		for i, s := range all {
+			if s.config.Revision() < all[0].config.Revision() {
+				left++
+				took[i] = 0
+			} else if took[i] == 0 {
+				took[i] = time.Since(start)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return took
+}
+
+func sumBytes(all []*Server) uint64 {
+	sum := uint64(0)
+	for _, s := range all {
+		sum += s.linker.Counts().BytesOut
+	}
+	return sum
+}
+
+// bytesPerSecond returns the bytes that each process sends while nothing
+// changes.
+func bytesPerSecond(all []*Server, d time.Duration) float64 {
+	before := sumBytes(all)
+	time.Sleep(d)
+	return float64(sumBytes(all)-before) / d.Seconds() / float64(len(all))
+}
