server: drain and hand over without an interruption

Cause: a rollout under load broke groups whose owner had not yet heard that they drain, since a report of no running requests could be older than the last one sent; a new placement authority showed empty books while it learned, so every group of the domain stopped for some seconds at each change of authority. Change: a stopped group is quiet only when every entry has reported no requests after it knew of the stop; a new authority shows nothing until it has learned; a member that says it is leaving drains its group; writes to a caller that has stopped reading are bounded. Measured: go test ./internal/server: TestRolloutCutsNothing red before (4 of the first 30 requests refused by the engine), green after; TestAuthorityDies green, and red with the early view. Conclusion: planned stops and a lost authority cost no request.

--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -25,6 +25,8 @@
 	// chaos is the number of orders in a hundred that meet a fault.
 	chaos int
 	loads map[identifier.Group]uint32
+	// shown are the groups that entries know of.
+	shown []GroupInfo
 	// events are due at their times.
 	events []event
 	orders int
@@ -112,7 +114,11 @@
 		f.stepEngine(f.engines[vm])
 	}
 	f.deliver()
-	f.placer.SetLoads(f.loads)
+	quiet := map[identifier.Group]bool{}
+	for _, g := range f.placer.Groups() {
+		quiet[g.ID] = g.State != Serving && f.loads[g.ID] == 0
+	}
+	f.placer.SetQuiet(quiet)
 	for _, o := range f.placer.Step(f.now) {
 		f.orders++
 		if o.Action == Join {
--- a/internal/placer/groups.go
+++ b/internal/placer/groups.go
@@ -70,11 +70,14 @@
 	if p.anyDrained(g) {
 		p.drain(g, "operators have taken a member out")
 	}
+	if p.anyLeaving(g) {
+		p.drain(g, "a member says that it is leaving")
+	}
 	switch g.info.State {
 	case Forming:
 		p.stepForming(now, g)
 	case Draining:
-		if p.loads[g.info.ID] == 0 {
+		if p.quiet[g.info.ID] {
 			p.breakGroup(now, g, g.info.Reason)
 		}
 	}
@@ -84,6 +87,12 @@
 	return slices.ContainsFunc(g.members, func(mb member) bool { return p.drained[mb.vm] })
 }
 
+func (p *Placer) anyLeaving(g *group) bool {
+	return slices.ContainsFunc(g.members, func(mb member) bool {
+		return p.vms[mb.vm].server.State == EngineLeaving
+	})
+}
+
 func (p *Placer) drain(g *group, reason string) {
 	if g.info.State != Releasing {
 		g.info.State, g.info.Reason = Draining, reason
--- a/internal/placer/measure_test.go
+++ b/internal/placer/measure_test.go
@@ -77,7 +77,10 @@
 // reallyServing counts serving groups whose members are all alive.
 func (f *fleet) reallyServing() int {
 	n := 0
-	for _, g := range f.placer.Groups() {
+	if f.placer.Learned() {
+		f.shown = f.placer.Groups()
+	}
+	for _, g := range f.shown {
 		dead := slices.ContainsFunc(g.Members, func(vm identifier.VM) bool { return f.engines[vm].silent() })
 		if g.State == Serving && !dead {
 			n++
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -24,8 +24,8 @@
 	groups  map[identifier.Group]*group
 	wants   []Want
 	drained map[identifier.VM]bool
-	// loads is the number of running requests for each group, as owners tell.
-	loads   map[identifier.Group]uint32
+	// quiet holds the stopped groups that have no request left.
+	quiet   map[identifier.Group]bool
 	entries []identifier.VM
 	out     []Order
 }
@@ -79,7 +79,7 @@
 	p.vms = map[identifier.VM]*machine{}
 	p.sorted = nil
 	p.groups = map[identifier.Group]*group{}
-	p.loads = map[identifier.Group]uint32{}
+	p.quiet = nil
 	p.drained = map[identifier.VM]bool{}
 	p.out = nil
 }
@@ -103,8 +103,9 @@
 // SetEntries replaces the list of entry VMs that may own groups.
 func (p *Placer) SetEntries(entries []identifier.VM) { p.entries = entries }
 
-// SetLoads replaces the counts of running requests for each group.
-func (p *Placer) SetLoads(loads map[identifier.Group]uint32) { p.loads = loads }
+// SetQuiet replaces the set of groups that have no request left and get none:
+// every entry has said so after it had heard that the group stopped serving.
+func (p *Placer) SetQuiet(quiet map[identifier.Group]bool) { p.quiet = quiet }
 
 // Heard takes an announcement.
 func (p *Placer) Heard(now time.Time, s Server) {
@@ -248,6 +249,10 @@
 	return out
 }
 
+// Learned reports whether the books are complete enough to be shown: an
+// authority that has just begun does not know the groups that serve.
+func (p *Placer) Learned() bool { return p.adopted }
+
 // adopt takes over the groups that engines say they are in.
 func (p *Placer) adopt(now time.Time) {
 	for _, m := range p.sorted {
--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -199,10 +199,13 @@
 	}
 	w.WriteHeader(reply.Status)
 	rc := http.NewResponseController(w)
+	// The connection may carry another request later.
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	buf := make([]byte, copyBytes)
 	for {
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
+			_ = rc.SetWriteDeadline(time.Now().Add(writeTime))
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return werr
 			}
@@ -217,5 +220,9 @@
 	}
 }
 
+// writeTime bounds how long a reader may take to accept what is written, so that
+// one that has stopped reading does not hold a place at a replica.
+const writeTime = 30 * time.Second
+
 // copyBytes is the size of the buffer of one answer being passed on.
 const copyBytes = 8 << 10
--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -20,16 +20,18 @@
 // authority is the placement of this failure domain while this process holds
 // its lease.
 type authority struct {
-	mu       sync.Mutex
-	active   bool
-	epoch    identifier.Epoch
-	placer   placer.Placer
-	entries  map[identifier.VM]*entryRecord
-	heardBy  map[identifier.VM]identifier.VM
-	view     *peerv1.PlacementView
+	mu      sync.Mutex
+	active  bool
+	epoch   identifier.Epoch
+	placer  placer.Placer
+	entries map[identifier.VM]*entryRecord
+	heardBy map[identifier.VM]identifier.VM
+	view    *peerv1.PlacementView
+	// stopped maps each group that does not serve to the view version that
+	// first said so.
+	stopped  map[identifier.Group]uint64
 	version  uint64
 	sequence uint64
-	revision identifier.Revision
 	client   *http.Client
 }
 
@@ -40,6 +42,9 @@
 	loads    map[identifier.Group]groupLoad
 	revision identifier.Revision
 	leaving  bool
+	// view is the version of the placement view that the entry knew when it
+	// made its last report.
+	view uint64
 }
 
 type groupLoad struct {
@@ -81,7 +86,9 @@
 	for _, o := range a.placer.Step(now) {
 		s.group.Go(func() { s.sendOrder(ctx, o) })
 	}
-	s.buildView(now)
+	if a.placer.Learned() {
+		s.buildView(now)
+	}
 }
 
 func (s *Server) beginAuthority(now time.Time, epoch identifier.Epoch) {
@@ -90,7 +97,7 @@
 	a.entries = map[identifier.VM]*entryRecord{}
 	a.heardBy = map[identifier.VM]identifier.VM{}
 	a.view = nil
-	a.revision = 0
+	a.stopped = map[identifier.Group]uint64{}
 	a.placer.Begin(now, epoch)
 	s.info("placement", "became the authority", "epoch", epoch)
 }
@@ -103,7 +110,6 @@
 		a.placer.SetDrained(drainedServers(view))
 	}
 	var live []identifier.VM
-	loads := map[identifier.Group]uint32{}
 	for vm, e := range a.entries {
 		silent := now.Sub(e.heard)
 		if silent <= s.Settings.Timing.Silence && !e.leaving {
@@ -111,14 +117,25 @@
 		}
 		if silent > 2*s.Settings.Timing.Silence {
 			s.loseEntry(now, vm)
-			continue
-		}
-		for g, l := range e.loads {
-			loads[g] += l.running
 		}
 	}
 	a.placer.SetEntries(sortedVMs(live))
-	a.placer.SetLoads(loads)
+	a.placer.SetQuiet(a.quietGroups())
+}
+
+// quietGroups returns the stopped groups that no entry has requests on. Only
+// reports made after the entry knew that the group had stopped count.
+func (a *authority) quietGroups() map[identifier.Group]bool {
+	quiet := map[identifier.Group]bool{}
+	for id, version := range a.stopped {
+		quiet[id] = true
+		for _, e := range a.entries {
+			if e.view < version || e.loads[id].running > 0 {
+				quiet[id] = false
+			}
+		}
+	}
+	return quiet
 }
 
 // loseEntry gives up an entry together with the backend servers that only it
--- a/internal/server/measure_test.go
+++ b/internal/server/measure_test.go
@@ -128,3 +128,57 @@
 	}()
 	return func() time.Duration { return <-first }
 }
+
+// TestMeasureColdStart offers full load to groups that have just formed, with
+// the ramp and with limits that are warm from the start.
+func TestMeasureColdStart(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	for _, cold := range []uint32{4, 16} {
+		inWorld(t, 2, func(w *world) {
+			w.setCold(cold)
+			for i := range 4 {
+				printReport(fmt.Sprintf("cold limit %2d, seconds %2d to %2d", cold, 5*i, 5*i+5), w.offer(remainingRate, 5*time.Second, 0))
+			}
+		})
+	}
+}
+
+// setCold declares another limit for groups that have just started, and turns
+// the engines cold again.
+func (w *world) setCold(cold uint32) {
+	w.cold = cold
+	w.declare(fmt.Sprint("cold-", cold))
+	time.Sleep(4 * time.Minute)
+}
+
+// TestMeasureFairness offers small teams' load with and without another team's
+// flood.
+func TestMeasureFairness(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	for _, flood := range []float64{0, 3} {
+		inWorld(t, 2, func(w *world) {
+			w.warmUp(remainingRate)
+			l := &loader.Load{Duration: 20 * time.Second, Timeout: 30 * time.Second, Seed: 3, Client: w.client}
+			for _, p := range w.peers {
+				l.Entries = append(l.Entries, "http://"+string(p.VM)+":7001")
+			}
+			team := func(name, key string, rate float64) loader.Traffic {
+				return loader.Traffic{
+					Team: name, APIKey: key, Service: "chat", Rate: rate, Arrivals: loader.Poisson,
+					Tokens: measureTokens, PromptBytes: 200,
+				}
+			}
+			l.Traffic = []loader.Traffic{team("small", smallKey, remainingRate/10)}
+			if flood > 0 {
+				l.Traffic = append(l.Traffic, team("flood", teamKey, flood*remainingRate))
+			}
+			for _, r := range l.Run(context.Background()) {
+				printReport(fmt.Sprintf("flood of %.0f times, team %s", flood, r.Team), r)
+			}
+		})
+	}
+}
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -147,6 +147,10 @@
 		a.entries[vm] = e
 	}
 	e.leaving = r.GetLeaving()
+	e.view = 0
+	if r.GetEpoch() == uint64(a.epoch) {
+		e.view = r.GetViewVersion()
+	}
 	e.address, e.heard, e.revision = r.GetAddress(), now, identifier.Revision(r.GetRevision())
 	e.loads = map[identifier.Group]groupLoad{}
 	for _, l := range r.GetLoads() {
--- a/internal/server/system_test.go
+++ b/internal/server/system_test.go
@@ -340,3 +340,84 @@
 		}
 	})
 }
+
+// TestRolloutCutsNothing changes the declared version while streams run. Every
+// one of them is answered whole, and all groups end up on the new version.
+func TestRolloutCutsNothing(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		done := make(chan answer)
+		stop := make(chan struct{})
+		const callers = 12
+		for i := range callers {
+			go func() {
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						done <- answer{}
+						return
+					case <-time.After(time.Duration(37*i+11*n%50) * time.Millisecond):
+						done <- w.chat(fmt.Sprintf("entry-%s-%d", worldDomains[i%3], n%2+1))
+					}
+				}
+			}()
+		}
+		w.declare("2")
+		end := time.Now().Add(3 * time.Minute)
+		whole := 0
+		for time.Now().Before(end) {
+			w.checkWhole(<-done)
+			whole++
+		}
+		close(stop)
+		for left := callers; left > 0; {
+			if a := <-done; a.mark == "" {
+				left--
+			}
+		}
+		if whole < 500 {
+			t.Errorf("only %d answers during the rollout", whole)
+		}
+		for _, d := range worldDomains {
+			view, _ := w.entries[fmt.Sprintf("entry-%s-1", d)].server.locator.View(time.Now())
+			for _, g := range view.GetGroups() {
+				if g.GetService() == "chat" && (g.GetVersion() != "2" || !g.GetServing()) {
+					t.Errorf("group %s has version %s and is %s: %s", g.GetId(), g.GetVersion(), g.GetState(), g.GetReason())
+				}
+			}
+		}
+	})
+}
+
+// TestAuthorityDies kills the placement authority of a failure domain, which
+// also owns groups. Every request through the other entries is answered whole
+// meanwhile, and the groups serve on under the next authority.
+func TestAuthorityDies(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		authority := string(w.entries["entry-a-1"].server.lease.knownHolder())
+		other := "entry-a-1"
+		if authority == other {
+			other = "entry-a-2"
+		}
+		w.kill(authority)
+		for span := range 20 {
+			before := w.executed("a")
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+				w.checkWhole(w.chat(other))
+				w.checkWhole(w.chat("entry-b-1"))
+			}
+			if w.executed("a") == before {
+				t.Errorf("the domain answered nothing itself from second %d to %d", 2*span, 2*span+2)
+			}
+		}
+		serving := 0
+		view, _ := w.entries[other].server.locator.View(time.Now())
+		for _, g := range view.GetGroups() {
+			if g.GetServing() && g.GetService() == "chat" && g.GetOwner() == other {
+				serving++
+			}
+		}
+		if serving != 2 {
+			t.Errorf("%d of 2 groups serve under the next authority: %v", serving, view.GetGroups())
+		}
+	})
+}
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -43,6 +43,23 @@
 	a.version++
 	v.Version = a.version
 	a.view = v
+	a.noteStopped()
+}
+
+// noteStopped notes the version that first says that a group does not serve.
+func (a *authority) noteStopped() {
+	stopped := map[identifier.Group]uint64{}
+	for _, g := range a.view.Groups {
+		id := identifier.Group(g.GetId())
+		if g.GetServing() {
+			continue
+		}
+		stopped[id] = a.view.Version
+		if since, ok := a.stopped[id]; ok {
+			stopped[id] = since
+		}
+	}
+	a.stopped = stopped
 }
 
 func encodeGroup(g placer.GroupInfo) *peerv1.GroupView {
--- a/internal/server/world_test.go
+++ b/internal/server/world_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,7 @@
 	backendKey  = "backend-key-0123456789"
 	peerKey     = "peer-key-0123456789"
 	teamKey     = "team-key"
+	smallKey    = "small-key"
 	callerHost  = "caller"
 )
 
@@ -47,7 +49,9 @@
 	backends map[string]*worldBackend
 	peers    []configurer.Peer
 	client   *http.Client
-	requests int
+	// cold is the declared limit of groups that have just started.
+	cold     uint32
+	requests atomic.Int64
 }
 
 type worldEntry struct {
@@ -69,7 +73,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			t: t, net: newPipes(), folder: t.TempDir(), entries: map[string]*worldEntry{}, backends: map[string]*worldBackend{},
+			t: t, cold: 4, net: newPipes(), folder: t.TempDir(), entries: map[string]*worldEntry{}, backends: map[string]*worldBackend{},
 		}
 		transport := &http.Transport{DialContext: host{w.net, callerHost}.DialContext, DisableKeepAlives: true}
 		w.client = &http.Client{Transport: transport}
@@ -218,21 +222,28 @@
 	return trefoilheadv1connect.NewOperatorClient(w.client, "http://"+vm+":7002", connect.WithInterceptors(auth))
 }
 
-func (w *world) applyAll() {
+func (w *world) applyAll() { w.declare("1") }
+
+// declare applies the world's declarations with a version of the chat model.
+func (w *world) declare(version string) {
 	d := declarer.Declarations{
 		Services: []declarer.Service{
 			{
-				ID: "chat", Kind: declarer.ModelService, Model: "m", Version: "1", VMsPerReplica: 2, AcceleratorsPerVM: 8,
+				ID: "chat", Kind: declarer.ModelService, Model: "m", Version: version, VMsPerReplica: 2, AcceleratorsPerVM: 8,
 				Replicas:    map[identifier.FailureDomain]int{"a": 2, "b": 2, "c": 2},
-				Concurrency: 16, ColdConcurrency: 4,
+				Concurrency: 16, ColdConcurrency: w.cold,
 			},
 			{ID: "booking", Kind: declarer.PlainService, Concurrency: 8, ColdConcurrency: 8},
 		},
-		// The SHA-256 of teamKey.
-		Teams: []declarer.Team{{ID: "team", KeySHA256: "e5d153a3ec1c5c3ec1ac46ddd5a0d62c3ea2e65ba4c24bc13a0d4b3b0ee46dcb", Weight: 1}},
+		Teams: []declarer.Team{
+			{ID: "team", KeySHA256: hashOf(teamKey), Weight: 1}, {ID: "small", KeySHA256: hashOf(smallKey), Weight: 1},
+		},
+	}
+	have, err := w.operator("entry-a-1").Get(context.Background(), connect.NewRequest(&trefoilheadv1.GetRequest{}))
+	if err != nil {
+		w.t.Fatal(err)
 	}
-	d.Teams[0].KeySHA256 = hashOf(teamKey)
-	req := &trefoilheadv1.ApplyRequest{RequestId: "first"}
+	req := &trefoilheadv1.ApplyRequest{RequestId: "version-" + version, ExpectedRevision: have.Msg.GetRevision()}
 	for _, o := range d.Objects() {
 		req.Put = append(req.Put, &trefoilheadv1.Object{Kind: o.Kind, Id: o.ID, Body: o.Body})
 	}
@@ -298,8 +309,7 @@
 
 // chat sends a streamed chat completion through an entry.
 func (w *world) chat(vm string) answer {
-	w.requests++
-	mark := fmt.Sprintf("m%d", w.requests)
+	mark := fmt.Sprintf("m%d", w.requests.Add(1))
 	body := fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, worldTokens)
 	return w.send(vm, "/v1/chat/completions", body, mark, "")
 }
