router: send prefixes that were not seen lately in turn

Cause: prompts that are all different were hashed to groups, which spreads load less evenly than taking the groups in turn, and no cache can hold them. Change: an entry remembers some thousand prefixes in two generations; only those seen before go by affinity.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,11 +103,29 @@
 
 // PrefixAffinity takes the candidate that the prefix hashes to, unless its
 // load is above Bound times the average; then the next in the prefix's own
-// order. Requests without a prefix go to the less loaded of two.
+// order. A prefix that was not seen lately is cached nowhere, so such a request
+// takes the candidates in turn, which spreads load more evenly than hashing.
 type PrefixAffinity struct {
 	// Bound is the factor above the average load that affinity may cost.
 	Bound float64
-	Rand  *rand.Rand
+
+	turn RoundRobin
+	// recent and older are two generations of prefixes seen.
+	recent map[Prefix]bool
+	older  map[Prefix]bool
+}
+
+// generationSize bounds the prefixes of one generation.
+const generationSize = 8192
+
+// seen reports whether a prefix was seen lately, and notes it.
+func (a *PrefixAffinity) seen(p Prefix) bool {
+	known := a.recent[p] || a.older[p]
+	if a.recent == nil || len(a.recent) >= generationSize {
+		a.recent, a.older = map[Prefix]bool{}, a.recent
+	}
+	a.recent[p] = true
+	return known
 }
 
 // affinitySlack is added to the load bound, so that an idle service does not
@@ -115,9 +133,9 @@
 const affinitySlack = 0.1
 
 // Pick implements Policy.
-func (a PrefixAffinity) Pick(cs []Candidate, p Prefix) int {
-	if p == 0 {
-		return TwoChoices{Rand: a.Rand}.Pick(cs, p)
+func (a *PrefixAffinity) Pick(cs []Candidate, p Prefix) int {
+	if p == 0 || !a.seen(p) {
+		return a.turn.Pick(cs, p)
 	}
 	total := 0.0
 	for _, c := range cs {
