--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -135,7 +135,9 @@
 		return s, err
 	}
 	s.FillDefaults()
-	s.check(d)
+	if !d.Broken {
+		s.check(d)
+	}
 	return s, d.Err()
 }
 
@@ -194,7 +196,7 @@
 	host, port, err := net.SplitHostPort(address)
 	n, perr := strconv.ParseUint(port, 10, 16)
 	if err != nil || perr != nil || n == 0 || net.ParseIP(host) == nil {
-		d.Add(path, "address %q is not ip:port", address)
+		d.Add(path, "%s %q is not ip:port", path[len(path)-1], address)
 	}
 }
 
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -46,6 +46,9 @@
 type Document struct {
 	File     string
 	Findings Findings
+	// Broken is set when the file is not YAML at all, so that nothing in it
+	// can be checked.
+	Broken bool
 
 	root yaml.Node
 }
@@ -67,6 +70,7 @@
 	d := &Document{File: name}
 	if err := yaml.Unmarshal(data, &d.root); err != nil {
 		d.addError(err)
+		d.Broken = true
 		return d
 	}
 	dec := yaml.NewDecoder(bytes.NewReader(data))
--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -64,7 +64,6 @@
 		cancel()
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, err.Error())
 	}
-	req.GetBody = nil
 	req.ContentLength = int64(len(r.Body))
 	req.Header = forwardHeader(r.Header)
 	h.setHeaders(req.Header, g, r)
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -205,7 +205,6 @@
 		return nil, err
 	}
 	req.Header = forwardHeader(r.Header)
-	req.GetBody = nil
 	if len(r.Body) > 0 {
 		req.ContentLength = int64(len(r.Body))
 	}
