--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -11,6 +11,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -209,15 +210,19 @@
 	Now    int64         `json:"now"`
 }
 
-// Snapshot returns the serialized claims. It implements driver.Machine.
-func (s *State) Snapshot() []byte {
+// Snapshot returns the serialized claims.
+func (s *State) Snapshot() []byte { return s.Freeze()() }
+
+// Freeze copies the claims and returns a function that serializes the copy. It
+// implements driver.Machine.
+func (s *State) Freeze() func() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := stored{Queue: s.queue, Now: s.now}
+	out := stored{Queue: slices.Clone(s.queue), Now: s.now}
 	for k, c := range s.claims {
 		out.Claims = append(out.Claims, storedClaim{Key: k, Claim: c})
 	}
-	return encode(out)
+	return func() []byte { return encode(out) }
 }
 
 // Restore takes over serialized claims. It implements driver.Machine.
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -5,19 +5,16 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
+
+	"trefoilhead.org/trefoilhead/internal/seeder"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m)) }
 
 func run(t *rapid.T, s *State, c Command) Outcome {
 	data, err := json.Marshal(c)
@@ -148,3 +145,45 @@
 		})
 	})
 }
+
+// measure runs the measurement, which prints figures.
+var measure = flag.Bool("measure", false, "measure memory and snapshots of many claims")
+
+// TestMeasureClaims measures what finished claims with an answer of 200 bytes
+// cost.
+func TestMeasureClaims(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	const claims, answerBytes = 100_000, 200
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var s State
+	start := time.Now()
+	for i := range claims {
+		c := Command{Action: Begin, Key: Key{Team: "t", Service: "s", Value: fmt.Sprint("key-", i)}, Fingerprint: NewFingerprint("POST", "/", nil), Attempt: fmt.Sprint(i)}
+		apply(t, &s, c)
+		c.Action, c.Answer, c.Retention = Finish, &Answer{Status: 201, Body: make([]byte, answerBytes)}, 1<<40
+		apply(t, &s, c)
+	}
+	each := time.Since(start) / claims
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	start = time.Now()
+	serialize := s.Freeze()
+	frozen := time.Since(start)
+	size := len(serialize())
+	t.Logf("%d claims: %d bytes of memory each, %v of processor time each, a snapshot of %d MB in %v, of which the log waits %v",
+		claims, (after.HeapAlloc-before.HeapAlloc)/claims, each, size>>20, time.Since(start), frozen)
+	runtime.KeepAlive(&s)
+}
+
+func apply(t *testing.T, s *State, c Command) {
+	t.Helper()
+	data, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Apply(data)
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -39,8 +39,9 @@
 type Machine interface {
 	// Apply runs one command and returns its result.
 	Apply(data []byte) []byte
-	// Snapshot returns the whole state.
-	Snapshot() []byte
+	// Freeze returns a function that serializes the state as it is now. The
+	// function runs beside later calls of Apply.
+	Freeze() func() []byte
 	// Restore replaces the whole state.
 	Restore(data []byte) error
 }
@@ -100,6 +101,8 @@
 	// snapshotBytes.
 	appliedBytes  int
 	snapshotBytes int
+	// freezing is set while a state is being serialized.
+	freezing bool
 	// failed is set when storage failed outside flush.
 	failed error
 }
@@ -151,6 +154,7 @@
 		if err := d.flush(); err != nil {
 			return err
 		}
+		d.startSnapshot(ctx)
 	}
 }
 
@@ -222,6 +226,10 @@
 		d.step(m)
 	case proposal:
 		d.propose(m)
+	case frozen:
+		if err := d.storeSnapshot(m); err != nil {
+			d.failed = err
+		}
 	}
 }
 
@@ -286,7 +294,7 @@
 		}
 	}
 	d.publish()
-	return d.compact()
+	return nil
 }
 
 func (d *Driver) apply(out replicator.Output) error {
@@ -338,16 +346,38 @@
 	d.loseWaitersUpTo(^replicator.Index(0))
 }
 
-func (d *Driver) compact() error {
-	if d.applied < d.marked+snapshotEvery || d.appliedBytes < snapshotShare*d.snapshotBytes {
-		return nil
+// frozen is a serialized state that is ready to be stored.
+type frozen struct {
+	index replicator.Index
+	data  []byte
+}
+
+// startSnapshot serializes the state beside the loop when the log has grown
+// enough, so that a large state does not hold up elections.
+func (d *Driver) startSnapshot(ctx context.Context) {
+	if d.freezing || d.applied < d.marked+snapshotEvery || d.appliedBytes < snapshotShare*d.snapshotBytes {
+		return
 	}
-	s, ok := d.node.Compact(d.applied, d.Machine.Snapshot(), trailingEntries)
+	d.freezing = true
+	d.marked, d.appliedBytes = d.applied, 0
+	index, serialize := d.applied, d.Machine.Freeze()
+	go func() {
+		select {
+		case d.inbox <- frozen{index: index, data: serialize()}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// storeSnapshot compacts the log behind a serialized state. A snapshot that a
+// leader sent meanwhile makes it void.
+func (d *Driver) storeSnapshot(f frozen) error {
+	d.freezing = false
+	s, ok := d.node.Compact(f.index, f.data, trailingEntries)
 	if !ok {
 		return nil
 	}
-	d.marked = s.Index
-	d.appliedBytes, d.snapshotBytes = 0, len(s.Data)
+	d.snapshotBytes = len(s.Data)
 	_ = level.Info(d.Logger).Log("msg", "snapshot taken", "index", s.Index, "bytes", len(s.Data))
 	return d.Journal.SaveSnapshot(s, d.node.EntriesAfter(s.Index))
 }
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -12,17 +12,12 @@
 
 	"pgregory.net/rapid"
 
+	"trefoilhead.org/trefoilhead/internal/seeder"
+
 	"trefoilhead.org/trefoilhead/internal/replicator"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m)) }
 
 // expected is what a journal should hold, kept as plain values.
 type expected struct {
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -1,7 +1,6 @@
 package leaser
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -9,18 +8,13 @@
 
 	"pgregory.net/rapid"
 
+	"trefoilhead.org/trefoilhead/internal/seeder"
+
 	"trefoilhead.org/trefoilhead/internal/identifier"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.nofailfile", "true")
-		_ = flag.Set("rapid.checks", "1000")
-		_ = flag.Set("rapid.steps", "200")
-	}
-	os.Exit(m.Run())
+	os.Exit(seeder.Main(m, seeder.Setting{Flag: "rapid.checks", Value: "1000"}, seeder.Setting{Flag: "rapid.steps", Value: "200"}))
 }
 
 const lease = 5 * time.Second
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -13,17 +12,12 @@
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
+	"trefoilhead.org/trefoilhead/internal/seeder"
+
 	"trefoilhead.org/trefoilhead/internal/identifier"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m)) }
 
 // twoServices wants three groups of three and one group of two.
 func twoServices() []Want {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -311,7 +311,7 @@
 	s.history = nil
 }
 
-// Snapshot returns the serialized state. It implements driver.Machine.
+// Snapshot returns the serialized state.
 func (s *State) Snapshot() []byte {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -3,25 +3,19 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"trefoilhead.org/trefoilhead/internal/seeder"
+
 	"trefoilhead.org/trefoilhead/internal/declarer"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m)) }
 
 func apply(t *rapid.T, s *State, c Change) Outcome {
 	data, err := json.Marshal(c)
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -13,18 +13,13 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
+
+	"trefoilhead.org/trefoilhead/internal/seeder"
 )
 
 var histories = flag.Int("histories", 40, "number of random histories to check")
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m)) }
 
 // TestScenarios runs the scripts under testdata.
 func TestScenarios(t *testing.T) {
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -46,8 +46,12 @@
 	return result
 }
 
-// Snapshot implements driver.Machine.
-func (m configMachine) Snapshot() []byte { return m.s.logged.Snapshot() }
+// Freeze implements driver.Machine. The state is small enough to be serialized
+// at once.
+func (m configMachine) Freeze() func() []byte {
+	data := m.s.logged.Snapshot()
+	return func() []byte { return data }
+}
 
 // Restore implements driver.Machine.
 func (m configMachine) Restore(data []byte) error {
--- a/internal/server/system_test.go
+++ b/internal/server/system_test.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 
+	"trefoilhead.org/trefoilhead/internal/claimer"
 	"trefoilhead.org/trefoilhead/internal/emulator"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/refuser"
@@ -424,3 +425,41 @@
 		}
 	})
 }
+
+// TestManyClaimsSurviveARestart sends more claims than one snapshot covers,
+// restarts every entry, and resends some: each gets its first answer.
+func TestManyClaimsSurviveARestart(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		const claims = 2600
+		claim := claimRunner{w.entries["entry-a-1"].server}
+		for i := range claims {
+			c := claimer.Command{Action: claimer.Begin, Key: claimer.Key{Team: "t", Value: fmt.Sprint(i)}, Attempt: fmt.Sprint(i), Retention: 1 << 40}
+			if o, err := claim.Run(context.Background(), c); err != nil || o.Verdict != claimer.Granted {
+				t.Fatalf("claim %d: %v, %v", i, o, err)
+			}
+			c.Action, c.Answer = claimer.Finish, &claimer.Answer{Status: 201, Body: []byte(fmt.Sprint(i))}
+			if o, err := claim.Run(context.Background(), c); err != nil || o.Verdict != claimer.Noted {
+				t.Fatalf("end %d: %v, %v", i, o, err)
+			}
+		}
+		time.Sleep(time.Second)
+		if first := w.entries["entry-a-1"].server.logs[claimsLog].Status().First; first == 1 {
+			t.Error("no snapshot was taken")
+		}
+		for vm := range w.entries {
+			w.kill(vm)
+		}
+		for _, p := range w.peers {
+			w.startEntry(string(p.VM))
+		}
+		time.Sleep(10 * time.Second)
+		claim = claimRunner{w.entries["entry-b-1"].server}
+		for i := 0; i < claims; i += 100 {
+			c := claimer.Command{Action: claimer.Begin, Key: claimer.Key{Team: "t", Value: fmt.Sprint(i)}, Attempt: "again"}
+			o, err := claim.Run(context.Background(), c)
+			if err != nil || o.Verdict != claimer.Done || string(o.Answer.Body) != fmt.Sprint(i) {
+				t.Errorf("claim %d after the restart: %v, %v", i, o, err)
+			}
+		}
+	})
+}
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -1,23 +1,17 @@
 package sharer
 
 import (
-	"flag"
 	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"trefoilhead.org/trefoilhead/internal/seeder"
+
 	"trefoilhead.org/trefoilhead/internal/identifier"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m)) }
 
 // TestSharesFollowWeights keeps every team waiting and compares the work that
 // each got with its weight. Fair queueing bounds the difference by one request
