operator: list groups of all domains, back up and restore

Cause: an operator saw the groups of the asked entry's domain only; a backup could not be restored; the demo could call an entry before it listened. Change: ListGroups asks one entry of each domain and names those that do not answer; backup and restore commands with a checksum; the demo waits for its entries. Conclusion: one call shows the whole system.

--- /dev/null
+++ b/cmd/trefoilhead/backup.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"trefoilhead.org/trefoilhead/internal/declarer"
+	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1"
+)
+
+// backup is the content of a backup file.
+type backup struct {
+	Revision uint64          `json:"revision"`
+	Checksum uint64          `json:"checksum"`
+	State    json.RawMessage `json:"state"`
+}
+
+func newBackup() *ffcli.Command {
+	fs := flag.NewFlagSet("backup", flag.ContinueOnError)
+	var r remote
+	r.register(fs)
+	file := fs.String("f", "", "file to write")
+	return &ffcli.Command{
+		Name: "backup", ShortUsage: "trefoilhead backup -f FILE", ShortHelp: "write the configuration to a file",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(ctx context.Context, _ []string) error { return writeBackup(ctx, &r, *file) },
+	}
+}
+
+func writeBackup(ctx context.Context, r *remote, file string) error {
+	resp, err := r.client().Backup(ctx, connect.NewRequest(&trefoilheadv1.BackupRequest{}))
+	if err != nil {
+		return err
+	}
+	m := resp.Msg
+	data, err := json.Marshal(backup{Revision: m.GetRevision(), Checksum: m.GetChecksum(), State: m.GetData()})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	_, _ = fmt.Printf("revision %d written to %s\n", m.GetRevision(), file)
+	return nil
+}
+
+func newRestore() *ffcli.Command {
+	fs := flag.NewFlagSet("restore", flag.ContinueOnError)
+	var a applier
+	a.register(fs)
+	file := fs.String("f", "", "backup file")
+	fs.BoolVar(&a.dryRun, "dry-run", false, "print the change without making it")
+	fs.DurationVar(&a.wait, "wait", 0, "wait up to this time until the change is in force everywhere")
+	fs.StringVar(&a.requestID, "request-id", "", "id of this call; the same one resent gives the first outcome")
+	return &ffcli.Command{
+		Name: "restore", ShortUsage: "trefoilhead restore -f FILE", ShortHelp: "make the declared objects those of a backup, as a new revision",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(ctx context.Context, _ []string) error { return a.restore(ctx, os.Stdout, *file) },
+	}
+}
+
+// restore applies the objects of a backup. Drains are left as they are.
+func (a *applier) restore(ctx context.Context, w io.Writer, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	objects, err := readBackup(data)
+	if err != nil {
+		return err
+	}
+	return a.change(ctx, w, objects)
+}
+
+// readBackup checks a backup and returns its objects.
+func readBackup(data []byte) ([]declarer.Object, error) {
+	var b backup
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, fmt.Errorf("the file is no backup: %w", err)
+	}
+	if xxhash.Sum64(b.State) != b.Checksum {
+		return nil, errors.New("the backup is damaged: its checksum differs")
+	}
+	var state struct {
+		Objects []declarer.Object `json:"objects"`
+	}
+	if err := json.Unmarshal(b.State, &state); err != nil {
+		return nil, fmt.Errorf("the backup is damaged: %w", err)
+	}
+	return state.Objects, nil
+}
--- a/cmd/trefoilhead/main.go
+++ b/cmd/trefoilhead/main.go
@@ -43,7 +43,7 @@
 		ShortUsage: "trefoilhead <command> [flags]",
 		Subcommands: []*ffcli.Command{
 			newServe(), newApply(), newGet(), newDrain("drain", true), newDrain("undrain", false),
-			newDump(), newVoter(), newValidate(), newDemo(), newLoad(),
+			newDump(), newBackup(), newRestore(), newVoter(), newValidate(), newDemo(), newLoad(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/cmd/trefoilhead/operate.go
+++ b/cmd/trefoilhead/operate.go
@@ -65,11 +65,16 @@
 	if err != nil {
 		return err
 	}
+	return a.change(ctx, w, declared.Objects())
+}
+
+// change makes the declared objects those given.
+func (a *applier) change(ctx context.Context, w io.Writer, want []declarer.Object) error {
 	have, err := a.client().Get(ctx, connect.NewRequest(&trefoilheadv1.GetRequest{}))
 	if err != nil {
 		return err
 	}
-	diff := declarer.Compare(fromWire(have.Msg.GetObjects()), declared.Objects())
+	diff := declarer.Compare(fromWire(have.Msg.GetObjects()), want)
 	req := a.request(w, diff, have.Msg.GetRevision())
 	if len(req.Put) == 0 && len(req.Remove) == 0 {
 		_, _ = fmt.Fprintf(w, "nothing to change at revision %d\n", have.Msg.GetRevision())
@@ -185,6 +190,9 @@
 			_, _ = fmt.Fprintf(w, "%s  %s  owner %s  members %v  %s\n", g.GetId(), g.GetState(), g.GetOwner(), g.GetMembers(), g.GetReason())
 		}
 	}
+	for _, d := range resp.Msg.GetUnreachable() {
+		_, _ = fmt.Fprintf(w, "failure domain %s does not answer\n", d)
+	}
 	for _, s := range resp.Msg.GetStranded() {
 		_, _ = fmt.Fprintf(w, "stranded %s  %d accelerators  %s\n", s.GetVmId(), s.GetAccelerators(), s.GetReason())
 	}
--- a/internal/demonstrator/bench.go
+++ b/internal/demonstrator/bench.go
@@ -88,9 +88,30 @@
 	if err := b.startEntries(ctx); err != nil {
 		return err
 	}
+	for _, e := range b.Entries {
+		if err := e.waitHealthy(ctx); err != nil {
+			return err
+		}
+	}
 	return b.startBackends(ctx)
 }
 
+// waitHealthy waits until an entry process answers.
+func (e *Entry) waitHealthy(ctx context.Context) error {
+	const bound, step = 10 * time.Second, 20 * time.Millisecond
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(step) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Callers()+"/healthz", nil)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			return Error.Wrap(resp.Body.Close())
+		}
+	}
+	return Error.New("%s did not start within %s", e.Settings.VM, bound)
+}
+
 // Stop ends everything and waits for it.
 func (b *Bench) Stop() {
 	b.cancel()
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -144,15 +144,13 @@
 	start := time.Now()
 	for time.Since(start) < formBound && ctx.Err() == nil {
 		serving := 0
-		for _, e := range d.bench.Entries {
-			resp, err := NewOperator(e.Control(), OperatorKey).ListGroups(ctx, connect.NewRequest(&trefoilheadv1.ListGroupsRequest{}))
-			if err != nil {
-				continue
-			}
-			for _, g := range resp.Msg.GetGroups() {
-				if g.GetState() == "serving" {
-					serving++
-				}
+		resp, err := d.operator().ListGroups(ctx, connect.NewRequest(&trefoilheadv1.ListGroupsRequest{}))
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		for _, g := range resp.Msg.GetGroups() {
+			if g.GetState() == "serving" {
+				serving++
 			}
 		}
 		if want := 3 * len(d.bench.Entries); serving == want {
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -115,20 +115,56 @@
 	return connect.NewResponse(out), nil
 }
 
-// ListGroups returns the groups of this process's failure domain.
-func (o operator) ListGroups(context.Context, *connect.Request[trefoilheadv1.ListGroupsRequest]) (*connect.Response[trefoilheadv1.ListGroupsResponse], error) {
+// ListGroups returns the groups of every failure domain that can be reached.
+func (o operator) ListGroups(ctx context.Context, _ *connect.Request[trefoilheadv1.ListGroupsRequest]) (*connect.Response[trefoilheadv1.ListGroupsResponse], error) {
 	out := &trefoilheadv1.ListGroupsResponse{}
-	view, _ := o.s.locator.View(time.Now())
-	for _, g := range view.GetGroups() {
-		out.Groups = append(out.Groups, &trefoilheadv1.GroupInfo{
-			Id: g.GetId(), Service: g.GetService(), FailureDomain: view.GetFailureDomain(), FabricDomain: g.GetFabricDomain(),
-			Members: g.GetMembers(), State: g.GetState(), Reason: g.GetReason(), Owner: g.GetOwner(), Fence: g.GetFence(),
-		})
-	}
-	out.Stranded = view.GetStranded()
+	for _, d := range o.s.domains() {
+		view := o.s.viewOf(ctx, d)
+		if view == nil {
+			out.Unreachable = append(out.Unreachable, string(d))
+			continue
+		}
+		for _, g := range view.GetGroups() {
+			out.Groups = append(out.Groups, &trefoilheadv1.GroupInfo{
+				Id: g.GetId(), Service: g.GetService(), FailureDomain: view.GetFailureDomain(), FabricDomain: g.GetFabricDomain(),
+				Members: g.GetMembers(), State: g.GetState(), Reason: g.GetReason(), Owner: g.GetOwner(), Fence: g.GetFence(),
+			})
+		}
+		out.Stranded = append(out.Stranded, view.GetStranded()...)
+	}
 	return connect.NewResponse(out), nil
 }
 
+// domains returns every failure domain, sorted.
+func (s *Server) domains() []identifier.FailureDomain {
+	var all []identifier.FailureDomain
+	for _, p := range s.Settings.Peers {
+		all = append(all, p.FailureDomain)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// viewOf returns the placement view of a failure domain, from the first of its
+// entries that answers, or nil.
+func (s *Server) viewOf(ctx context.Context, d identifier.FailureDomain) *peerv1.PlacementView {
+	if d == s.Settings.FailureDomain {
+		return s.knownView()
+	}
+	for _, p := range s.Settings.Peers {
+		if p.FailureDomain != d {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, s.Settings.Timing.Heartbeat)
+		answer, err := s.linker.Call(ctx, p.VM, &peerv1.Envelope{ViewAsk: true})
+		cancel()
+		if err == nil && answer.GetPlacementView() != nil {
+			return answer.GetPlacementView()
+		}
+	}
+	return nil
+}
+
 // Status returns what this process says of itself and hears of its peers.
 func (o operator) Status(ctx context.Context, _ *connect.Request[trefoilheadv1.StatusRequest]) (*connect.Response[trefoilheadv1.StatusResponse], error) {
 	s := o.s
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -33,12 +33,24 @@
 	case e.GetDigest() != nil:
 		s.locator.SetDigest(time.Now(), e.GetDigest(), true)
 		return nil, nil
+	case e.GetViewAsk():
+		return &peerv1.Envelope{PlacementView: s.knownView()}, nil
 	case e.GetIdentity() != nil:
 		return s.handleIdentity(e.GetIdentity())
 	}
 	return nil, Error.New("the message is of no known kind")
 }
 
+// knownView returns the placement view that this entry goes by, or an empty
+// one.
+func (s *Server) knownView() *peerv1.PlacementView {
+	view, _ := s.locator.View(time.Now())
+	if view == nil {
+		view = &peerv1.PlacementView{FailureDomain: string(s.Settings.FailureDomain)}
+	}
+	return view
+}
+
 func (s *Server) handleIdentity(q *peerv1.Identity) (*peerv1.Envelope, error) {
 	d := s.logs[q.GetLog()]
 	if d == nil {
--- a/pkg/wire/trefoilheadv1/trefoilheadv1connect/operator.connect.go
+++ b/pkg/wire/trefoilheadv1/trefoilheadv1connect/operator.connect.go
@@ -71,7 +71,8 @@
 	SetDrain(context.Context, *connect.Request[trefoilheadv1.SetDrainRequest]) (*connect.Response[trefoilheadv1.ApplyResponse], error)
 	// ChangeVoter adds or removes one voter of the control logs.
 	ChangeVoter(context.Context, *connect.Request[trefoilheadv1.ChangeVoterRequest]) (*connect.Response[trefoilheadv1.ChangeVoterResponse], error)
-	// ListGroups returns the replica groups known to this process with reasons.
+	// ListGroups returns the replica groups of all failure domains that this
+	// process reaches, with reasons.
 	ListGroups(context.Context, *connect.Request[trefoilheadv1.ListGroupsRequest]) (*connect.Response[trefoilheadv1.ListGroupsResponse], error)
 	// Status returns what this process and its peers say of themselves.
 	Status(context.Context, *connect.Request[trefoilheadv1.StatusRequest]) (*connect.Response[trefoilheadv1.StatusResponse], error)
@@ -192,7 +193,8 @@
 	SetDrain(context.Context, *connect.Request[trefoilheadv1.SetDrainRequest]) (*connect.Response[trefoilheadv1.ApplyResponse], error)
 	// ChangeVoter adds or removes one voter of the control logs.
 	ChangeVoter(context.Context, *connect.Request[trefoilheadv1.ChangeVoterRequest]) (*connect.Response[trefoilheadv1.ChangeVoterResponse], error)
-	// ListGroups returns the replica groups known to this process with reasons.
+	// ListGroups returns the replica groups of all failure domains that this
+	// process reaches, with reasons.
 	ListGroups(context.Context, *connect.Request[trefoilheadv1.ListGroupsRequest]) (*connect.Response[trefoilheadv1.ListGroupsResponse], error)
 	// Status returns what this process and its peers say of themselves.
 	Status(context.Context, *connect.Request[trefoilheadv1.StatusRequest]) (*connect.Response[trefoilheadv1.StatusResponse], error)
