server: decode the configuration once a revision

Change: the placer gets the configuration when its revision changes; heartbeats of the logs go out every fourth tick.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -72,7 +72,7 @@
 	trailingEntries = 1024
 	inboxLength     = 4096
 	electionTicks   = 10
-	heartbeatTicks  = 2
+	heartbeatTicks  = 4
 )
 
 // Driver runs one log on one voter. Exported fields are set before Run.
--- a/internal/placer/groups.go
+++ b/internal/placer/groups.go
@@ -178,8 +178,9 @@
 	}
 }
 
-// stepPlain keeps one group of one member for each plain backend server.
-func (p *Placer) stepPlain(now time.Time) {
+// stepPlain keeps one group of one member for each plain backend server. In an
+// authority's first step the servers may have owners from before.
+func (p *Placer) stepPlain(now time.Time, first bool) {
 	for _, m := range p.sorted {
 		s := m.server
 		if s.Kind == KindEngine {
@@ -193,6 +194,7 @@
 			delete(p.groups, id)
 		case g == nil || g.info.Incarnation != s.Incarnation:
 			p.groups[id] = newPlainGroup(now, id, w, s)
+			p.groups[id].adopted = first
 		default:
 			g.info.Concurrency, g.info.ColdConcurrency = w.Concurrency, w.ColdConcurrency
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -224,7 +224,8 @@
 	if now.Before(p.learned) {
 		return nil
 	}
-	if !p.adopted {
+	first := !p.adopted
+	if first {
 		p.adopt(now)
 		p.adopted = true
 	}
@@ -236,7 +237,7 @@
 	}
 	p.releaseStrays(now)
 	p.checkDoubted(now)
-	p.stepPlain(now)
+	p.stepPlain(now, first)
 	for _, w := range p.wants {
 		if !w.Plain {
 			p.fulfil(now, w)
--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -20,13 +20,16 @@
 // authority is the placement of this failure domain while this process holds
 // its lease.
 type authority struct {
-	mu      sync.Mutex
-	active  bool
-	epoch   identifier.Epoch
-	placer  placer.Placer
-	entries map[identifier.VM]*entryRecord
-	heardBy map[identifier.VM]identifier.VM
-	view    *peerv1.PlacementView
+	mu     sync.Mutex
+	active bool
+	// configured is set once the placer has the configuration of revision.
+	configured bool
+	revision   identifier.Revision
+	epoch      identifier.Epoch
+	placer     placer.Placer
+	entries    map[identifier.VM]*entryRecord
+	heardBy    map[identifier.VM]identifier.VM
+	view       *peerv1.PlacementView
 	// stopped maps each group that does not serve to the view version that
 	// first said so.
 	stopped map[identifier.Group]uint64
@@ -103,6 +106,7 @@
 	a.entries = map[identifier.VM]*entryRecord{}
 	a.heardBy = map[identifier.VM]identifier.VM{}
 	a.view = nil
+	a.configured = false
 	a.complete = a.version
 	a.stopped = map[identifier.Group]uint64{}
 	a.changed = map[string]uint64{}
@@ -113,10 +117,11 @@
 
 func (s *Server) feedPlacer(now time.Time) {
 	a := &s.authority
-	if s.caughtUp() {
+	if r := s.config.Revision(); s.caughtUp() && (r != a.revision || !a.configured) {
 		view := s.config.View()
 		a.placer.SetWants(wantsFor(view, s.Settings.FailureDomain))
 		a.placer.SetDrained(drainedServers(view))
+		a.revision, a.configured = view.Revision, true
 	}
 	var live []identifier.VM
 	for vm, e := range a.entries {
