relayer: end connections whose sender has stopped

Cause: a sender that stopped in the middle of a body got its refusal after a minute, but the server then waited without end for the rest of the body, since the read deadline had been lifted; the goroutine and connection stayed. Change: the deadline is lifted only after a whole body. Conclusion: no caller keeps a connection without sending.

--- a/internal/relayer/caller.go
+++ b/internal/relayer/caller.go
@@ -208,7 +208,12 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTime))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err != nil {
+		// The deadline stays, so that the server does not wait for the rest.
+		w.Header().Set("Connection", "close")
+	} else {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/server/access_test.go
+++ b/internal/server/access_test.go
@@ -24,6 +24,7 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/linker"
 	"trefoilhead.org/trefoilhead/internal/relayer"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
 
 // TestCredentialsAreKeptApart tries each credential on each kind of call.
@@ -159,6 +160,46 @@
 	}
 }
 
+// TestSlowAndBrokenCallers sends requests that never end, or end in the middle.
+// Each gets an answer or a close within the bound for a body, and the bubble
+// ends without a goroutine left.
+func TestSlowAndBrokenCallers(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		head := "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " + teamKey + "\r\nContent-Length: 100\r\n\r\n"
+		for _, c := range []struct {
+			name, sent string
+			closes     bool
+		}{
+			{"a sender that stops in the body", head + `{"model":`, false},
+			{"a sender that stops in the header", head[:60], false},
+			{"a sender that closes in the body", head + `{"model":`, true},
+			{"no HTTP at all", "\x16\x03\x01 hello\r\n\r\n", false},
+		} {
+			conn, err := host{w.net, callerHost}.DialContext(context.Background(), "tcp", "entry-a-1:7001")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(conn, c.sent); err != nil {
+				t.Fatal(err)
+			}
+			if c.closes {
+				_ = conn.Close()
+				continue
+			}
+			start := time.Now()
+			answer, _ := io.ReadAll(conn)
+			_ = conn.Close()
+			if took := time.Since(start); took > 70*time.Second {
+				t.Errorf("%s: held for %s", c.name, took)
+			}
+			if strings.Contains(string(answer), " 200 ") {
+				t.Errorf("%s: answered %q", c.name, answer)
+			}
+		}
+		w.checkWhole(w.chat("entry-a-1"))
+	})
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -191,3 +232,66 @@
 	t.Fatal("the entry did not answer over TLS")
 	return ""
 }
+
+// echoPeer answers every pull.
+type echoPeer struct{}
+
+// HandlePeer implements linker.Handler.
+func (echoPeer) HandlePeer(_ context.Context, from identifier.VM, _ *peerv1.Envelope) (*peerv1.Envelope, error) {
+	return &peerv1.Envelope{Delta: &peerv1.Delta{Revision: uint64(len(from))}}, nil
+}
+
+// TestLinkOverTLS calls a peer over TLS, and requires that a certificate of an
+// unknown authority is refused.
+func TestLinkOverTLS(t *testing.T) {
+	folder := t.TempDir()
+	files := configurer.TLS{
+		CertificateFile: filepath.Join(folder, "crt"), KeyFile: filepath.Join(folder, "key"), AuthorityFile: filepath.Join(folder, "ca"),
+	}
+	writeCertificate(t, files)
+	trusted, err := loadCredentials(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := freeAddress(t)
+	newLinker := func(vm identifier.VM, c *credentials) *linker.Linker {
+		return &linker.Linker{
+			VM: vm, Key: peerKey, Addresses: map[identifier.VM]string{"a": address, "b": address}, Scheme: "wss",
+			Dialer: tcp{newDialer(time.Second)}, TLS: c.client(), Handler: echoPeer{}, Logger: log.NewNopLogger(),
+			Heartbeat: time.Second, Silence: 3 * time.Second,
+		}
+	}
+	b := newLinker("b", trusted)
+	mux := http.NewServeMux()
+	mux.Handle(linker.Path, b)
+	server := &http.Server{Addr: address, Handler: mux, TLSConfig: trusted.server()}
+	go func() { _ = server.ListenAndServeTLS("", "") }()
+	defer func() { _ = server.Close() }()
+	defer b.Close()
+	a := newLinker("a", trusted)
+	defer a.Close()
+	var answer *peerv1.Envelope
+	for range 50 {
+		if answer, err = a.Call(t.Context(), "b", &peerv1.Envelope{Pull: &peerv1.Pull{}}); err == nil {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if err != nil || answer.GetDelta().GetRevision() != 1 {
+		t.Fatalf("the call got %v, error %v", answer, err)
+	}
+	strange := files
+	strange.AuthorityFile = filepath.Join(folder, "other_ca")
+	strange.CertificateFile = filepath.Join(folder, "other_crt")
+	strange.KeyFile = filepath.Join(folder, "other_key")
+	writeCertificate(t, strange)
+	other, err := loadCredentials(strange)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger := newLinker("a", other)
+	defer stranger.Close()
+	if _, err := stranger.Call(t.Context(), "b", &peerv1.Envelope{Pull: &peerv1.Pull{}}); err == nil {
+		t.Error("a peer with a certificate of an unknown authority was trusted")
+	}
+}
--- a/internal/server/measure_test.go
+++ b/internal/server/measure_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -185,3 +186,34 @@
 
 // measured are the policies that are compared.
 var measured = []string{"round_robin", "least_loaded", "two_choices", "prefix_affinity"}
+
+// TestMeasureElections measures the time until an operator's change is accepted
+// after the configuration log's leader is killed, and after its failure domain
+// is cut off.
+func TestMeasureElections(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	for _, cut := range []bool{false, true} {
+		var took []time.Duration
+		for range 10 {
+			inWorld(t, 1, func(w *world) {
+				leader := string(w.entries["entry-a-1"].server.leaderOf(configLog))
+				other := "entry-a-1"
+				if leader == other {
+					other = "entry-b-1"
+				}
+				if cut {
+					w.cutDomain(w.entries[leader].settings.FailureDomain, true)
+				} else {
+					w.kill(leader)
+				}
+				start := time.Now()
+				w.drainAt(other, "c", true)
+				took = append(took, time.Since(start))
+			})
+		}
+		slices.Sort(took)
+		fmt.Printf("leader lost, cut off %t: a change is accepted after p50 %v, most %v\n", cut, took[len(took)/2], took[len(took)-1])
+	}
+}
--- a/internal/server/system_test.go
+++ b/internal/server/system_test.go
@@ -178,9 +178,14 @@
 }
 
 func (w *world) drain(d identifier.FailureDomain, out bool) {
+	w.t.Helper()
+	w.drainAt("entry-a-1", d, out)
+}
+
+func (w *world) drainAt(entry string, d identifier.FailureDomain, out bool) {
 	w.t.Helper()
 	ctx := context.Background()
-	op := w.operator("entry-a-1")
+	op := w.operator(entry)
 	have, err := op.Get(ctx, connect.NewRequest(&trefoilheadv1.GetRequest{}))
 	if err != nil {
 		w.t.Fatal(err)
