placer: bound how many VMs load weights at once

Cause: the weights store is limited; when every VM of a domain restarts, all load at once, each gets a share, and no group serves before all do. Change: at most limits.max_loading VMs load in a domain; services go by priority and then by what they lack. The fakes' store feeds 16 engines at full speed. Conclusion: the most wanted group serves first.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -105,6 +105,9 @@
 	BodyBytes   int64 `yaml:"body_bytes" json:"body_bytes"`
 	QueueLength int   `yaml:"queue_length" json:"queue_length"`
 	AnswerBytes int   `yaml:"answer_bytes" json:"answer_bytes"`
+	// MaxLoading is the number of VMs of a failure domain that may load
+	// weights from the store at the same time.
+	MaxLoading int `yaml:"max_loading" json:"max_loading"`
 }
 
 // Default bounds.
@@ -123,6 +126,7 @@
 	defaultClaimRetention = 24 * time.Hour
 	defaultBodyBytes      = 8 << 20
 	defaultQueueLength    = 1024
+	defaultMaxLoading     = 16
 	defaultAnswerBytes    = 64 << 10
 )
 
@@ -159,6 +163,7 @@
 	fill(&s.Limits.BodyBytes, defaultBodyBytes)
 	fill(&s.Limits.QueueLength, defaultQueueLength)
 	fill(&s.Limits.AnswerBytes, defaultAnswerBytes)
+	fill(&s.Limits.MaxLoading, defaultMaxLoading)
 	fill(&s.Logs.Level, "info")
 }
 
--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -19,7 +19,10 @@
 	life    time.Duration
 	load    time.Duration
 	silence time.Duration
-	faults  []string
+	// store is the number of engines that the weights store feeds at full
+	// speed; 0 means any number.
+	store  int
+	faults []string
 	// roll returns a number from 0 to n-1; it decides what the network does.
 	roll func(n int) int
 	// chaos is the number of orders in a hundred that meet a fault.
@@ -35,12 +38,13 @@
 
 // fakeEngine is one engine as it really is.
 type fakeEngine struct {
-	s        Server
-	dead     bool
-	paused   bool
-	dark     bool
-	heard    time.Time
-	ready    time.Time
+	s      Server
+	dead   bool
+	paused bool
+	dark   bool
+	heard  time.Time
+	// left is how much of the loading is still to be done.
+	left     time.Duration
 	reported bool
 	// sent lists announcements under way.
 	sent []announcement
@@ -148,8 +152,11 @@
 		}
 		return
 	}
-	if e.s.State == EngineLoading && !f.now.Before(e.ready) {
-		e.s.State = EngineReady
+	if e.s.State == EngineLoading {
+		e.left -= f.loadStep()
+		if e.left <= 0 {
+			e.s.State = EngineReady
+		}
 	}
 	if f.now.Sub(e.heard) < time.Second && !e.reported {
 		return
@@ -163,6 +170,21 @@
 	e.heard, e.reported = f.now, false
 }
 
+// loadStep is how far one engine's loading gets in a step: the store feeds a
+// number of engines at full speed and shares that among more.
+func (f *fleet) loadStep() time.Duration {
+	loading := 0
+	for _, e := range f.engines {
+		if e.s.State == EngineLoading && !e.silent() {
+			loading++
+		}
+	}
+	if f.store == 0 || loading <= f.store {
+		return fleetStep
+	}
+	return fleetStep * time.Duration(f.store) / time.Duration(loading)
+}
+
 func (e *fakeEngine) silent() bool { return e.dead || e.paused || e.dark }
 
 // restart brings an engine back as a new process.
@@ -271,7 +293,7 @@
 	if e.s.Group == o.Group {
 		return
 	}
-	e.ready = f.now.Add(f.load)
+	e.left = f.load
 	e.s.Group, e.s.GroupFence, e.s.GroupMembers, e.s.State = o.Group, o.Fence, o.Members, EngineLoading
 	e.s.Model, e.s.Version = o.Model, o.Version
 }
--- a/internal/placer/former.go
+++ b/internal/placer/former.go
@@ -17,7 +17,9 @@
 	for len(current)+len(outdated) < w.Replicas {
 		g := p.form(now, w)
 		if g == nil {
-			p.preempt(w)
+			if p.choose(now, w) == nil {
+				p.preempt(w)
+			}
 			return
 		}
 		current = append(current, g)
@@ -99,7 +101,7 @@
 // free VMs.
 func (p *Placer) form(now time.Time, w Want) *group {
 	chosen := p.choose(now, w)
-	if chosen == nil {
+	if chosen == nil || !p.mayLoad(chosen, w) {
 		return nil
 	}
 	fence := p.nextFence()
@@ -127,6 +129,31 @@
 	return g
 }
 
+// mayLoad reports whether the weights that the chosen VMs lack may be loaded
+// now. One group may always load, however many VMs it needs.
+func (p *Placer) mayLoad(chosen []*machine, w Want) bool {
+	missing := 0
+	for _, m := range chosen {
+		missing += boolRank(!m.holds(w))
+	}
+	loading := p.loading()
+	return missing == 0 || loading == 0 || loading+missing <= p.Policy.MaxLoading
+}
+
+// loading counts the VMs that load weights for a group.
+func (p *Placer) loading() int {
+	n := 0
+	for _, g := range p.groups {
+		if g.info.State != Forming {
+			continue
+		}
+		for _, mb := range g.members {
+			n += boolRank(p.vms[mb.vm].server.State != EngineReady)
+		}
+	}
+	return n
+}
+
 // choose picks the VMs for a group of w from the fabric domain that suits
 // best: most weights already there, then fewest groups of the service, then
 // fewest VMs left over.
--- a/internal/placer/measure_test.go
+++ b/internal/placer/measure_test.go
@@ -29,7 +29,7 @@
 func plainPolicy() Policy {
 	return Policy{
 		OrderLife: 10 * time.Second, Grace: time.Nanosecond, DarkGrace: time.Nanosecond,
-		FlapHold: time.Nanosecond, FlapHoldLimit: time.Nanosecond,
+		FlapHold: time.Nanosecond, FlapHoldLimit: time.Nanosecond, MaxLoading: 1 << 20,
 	}
 }
 
@@ -42,12 +42,13 @@
 		f.placer.Policy.FillDefaults()
 	}
 	f.load = time.Minute
+	f.store = 16
 	for i := range 6 {
 		fabric := identifier.FabricDomain(fmt.Sprint("f", i))
 		f.add(fabric, 12+i%2, func(int) bool { return honours })
 	}
 	f.placer.SetWants([]Want{siteWant})
-	f.run(2 * time.Minute)
+	f.run(10 * time.Minute)
 	return f
 }
 
@@ -132,6 +133,11 @@
 		f.engines[v[0]].dead = true
 		f.takeOver()
 	}},
+	{"all VMs restart at once", func(f *fleet, _ []identifier.VM) {
+		for _, vm := range f.vms() {
+			f.restart(f.engines[vm])
+		}
+	}},
 	{"rolling restart", func(f *fleet, _ []identifier.VM) {
 		for i, vm := range f.vms() {
 			f.later(time.Duration(i)*15*time.Second, func() { f.restart(f.engines[vm]) })
@@ -208,6 +214,7 @@
 			for i := range (groups + 9) / 10 {
 				f.add(identifier.FabricDomain(fmt.Sprint("f", i)), 42, func(int) bool { return true })
 			}
+			f.placer.Policy.MaxLoading = 1 << 20
 			w := siteWant
 			w.Replicas = groups
 			f.placer.SetWants([]Want{w})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -238,10 +239,8 @@
 	p.releaseStrays(now)
 	p.checkDoubted(now)
 	p.stepPlain(now, first)
-	for _, w := range p.wants {
-		if !w.Plain {
-			p.fulfil(now, w)
-		}
+	for _, w := range p.byNeed() {
+		p.fulfil(now, w)
 	}
 	p.drainUnwanted(now)
 	p.assignOwners()
@@ -254,6 +253,27 @@
 // authority that has just begun does not know the groups that serve.
 func (p *Placer) Learned() bool { return p.adopted }
 
+// byNeed returns the model services in the order in which they may form groups:
+// by priority, and among equals first the one with the smallest share of its
+// replicas in service.
+func (p *Placer) byNeed() []Want {
+	serving := map[identifier.Service]int{}
+	for _, g := range p.groups {
+		serving[g.info.Service] += boolRank(g.info.State == Serving || g.info.State == Forming)
+	}
+	share := func(w Want) float64 { return float64(serving[w.Service]) / float64(max(w.Replicas, 1)) }
+	var order []Want
+	for _, w := range p.wants {
+		if !w.Plain {
+			order = append(order, w)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b Want) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(share(a), share(b)))
+	})
+	return order
+}
+
 // adopt takes over the groups that engines say they are in.
 func (p *Placer) adopt(now time.Time) {
 	for _, m := range p.sorted {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -65,6 +65,37 @@
 	})
 }
 
+// TestLoadingIsBounded restarts every VM at once. No more VMs load than the
+// policy allows, the service with the higher priority is served first, and in
+// the end everything serves.
+func TestLoadingIsBounded(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 1)).IntN)
+	f.placer.Policy.MaxLoading = 4
+	f.add("x", 14, func(int) bool { return true })
+	f.placer.SetWants(twoServices())
+	most, firstGold, firstChat := 0, time.Time{}, time.Time{}
+	for range 1500 {
+		f.step()
+		loading := 0
+		for _, e := range f.engines {
+			loading += boolRank(e.s.State == EngineLoading)
+		}
+		most = max(most, loading)
+		if firstGold.IsZero() && f.serving("gold") > 0 {
+			firstGold = f.now
+		}
+		if firstChat.IsZero() && f.serving("chat") > 0 {
+			firstChat = f.now
+		}
+	}
+	if most > 4 {
+		t.Errorf("%d VMs loaded at once, more than 4", most)
+	}
+	if f.serving("chat") != 3 || f.serving("gold") != 1 || firstChat.Before(firstGold) {
+		t.Errorf("gold serves from %v, chat from %v\n%s", firstGold, firstChat, f.describe())
+	}
+}
+
 func (f *fleet) setDark(fabric identifier.FabricDomain, dark bool) {
 	for _, e := range f.engines {
 		if e.s.FabricDomain == fabric {
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -177,6 +177,10 @@
 	JoinBound time.Duration
 	// LoadBound is how long a group may take to become ready.
 	LoadBound time.Duration
+	// MaxLoading is the number of VMs that may load weights at the same time.
+	// The weights store feeds only so many at full speed; loading more at once
+	// makes all of them late.
+	MaxLoading int
 }
 
 // Default policy.
@@ -190,6 +194,7 @@
 	defaultFlapMemory    = 10 * time.Minute
 	defaultJoinBound     = 5 * time.Second
 	defaultLoadBound     = 20 * time.Minute
+	defaultMaxLoading    = 16
 )
 
 // FillDefaults replaces zero values by the defaults.
@@ -212,4 +217,7 @@
 			*f.v = f.def
 		}
 	}
+	if p.MaxLoading == 0 {
+		p.MaxLoading = defaultMaxLoading
+	}
 }
--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -63,8 +63,8 @@
 
 func (s *Server) initAuthority() {
 	s.authority.placer = placer.Placer{Domain: s.Settings.FailureDomain, Policy: placer.Policy{
-		OrderLife: s.Settings.Timing.OrderLife,
-		Learning:  s.Settings.Timing.Silence + 2*s.Settings.Timing.Heartbeat,
+		OrderLife: s.Settings.Timing.OrderLife, MaxLoading: s.Settings.Limits.MaxLoading,
+		Learning: s.Settings.Timing.Silence + 2*s.Settings.Timing.Heartbeat,
 	}}
 	s.authority.client = &http.Client{
 		Transport: newTransport(s.Network, s.tls),
