server: serve after a restart only by a configuration that is fresh enough

Cause: an entry without a disk that restarted served by the first configuration it pulled, also from a peer that had missed changes which the entry had served by. Change: answers say how old the quorum's word behind them is; an entry without a disk waits for one that is younger than its start, in a cut-off domain for 8 s.

--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -21,6 +21,9 @@
 	// cutOffAge is the age of the last word from the log's quorum after which
 	// a process says that it is cut off.
 	cutOffAge = 8 * time.Second
+	// logAge bounds how old the state of a voter that knows a leader may be:
+	// two election timeouts at the default tick.
+	logAge = 2 * time.Second
 )
 
 // gossip is the state of spreading the configuration.
@@ -94,26 +97,36 @@
 
 func (s *Server) configChanged() {
 	s.locator.SetConfig(s.config.View())
+	if s.logs[configLog] == nil {
+		return
+	}
+	// What a voter takes from its own disk is all that it ever served by.
 	s.gossip.mu.Lock()
 	s.gossip.caughtUp = true
 	s.gossip.mu.Unlock()
 }
 
-// confirm notes that this process's state was that of a quorum age ago.
+// confirm notes that this process's state was that of a quorum age ago. A
+// process without a disk serves by a state that was confirmed after its start:
+// that is no older than any that it served by before. When no such state can be
+// had for long, because the failure domain is cut off, it serves by what its
+// peers serve by.
 func (s *Server) confirm(now time.Time, age time.Duration) {
 	s.gossip.mu.Lock()
 	defer s.gossip.mu.Unlock()
 	if at := now.Add(-age); at.After(s.gossip.confirmed) {
 		s.gossip.confirmed = at
 	}
-	s.gossip.caughtUp = true
+	if s.gossip.confirmed.After(s.started) || now.Sub(s.started) > cutOffAge {
+		s.gossip.caughtUp = true
+	}
 }
 
 // quorumAge returns the time since the state was last confirmed.
 func (s *Server) quorumAge(now time.Time) time.Duration {
 	if d := s.logs[configLog]; d != nil {
 		if st := d.Status(); st.Leader != "" && !st.Probing {
-			s.confirm(now, 0)
+			s.confirm(now, logAge)
 		}
 	}
 	s.gossip.mu.Lock()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -72,6 +72,7 @@
 	metrics metrics.Registry
 	tls     *credentials
 
+	started   time.Time
 	random    *lockedRand
 	gossip    gossip
 	lease     leaseState
@@ -121,6 +122,7 @@
 
 func (s *Server) init() error {
 	set := &s.Settings
+	s.started = time.Now()
 	s.metrics = metrics.NewRegistry()
 	s.random = &lockedRand{r: rand.New(rand.NewPCG(s.Seed, uint64(s.Incarnation)))}
 	var err error
--- a/internal/server/system_test.go
+++ b/internal/server/system_test.go
@@ -496,3 +496,45 @@
 		}
 	})
 }
+
+// TestRestartDoesNotGoBack restarts an entry without a disk where it reaches
+// only a peer that has missed the last change. It does not serve by the older
+// configuration that it had gone beyond before.
+func TestRestartDoesNotGoBack(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		cutOff := func(vm string, but string, cut bool) {
+			for other := range w.hosts(func(identifier.FailureDomain) bool { return true }) {
+				if other != vm && other != but {
+					w.net.setCut(vm, other, cut)
+				}
+			}
+		}
+		cutOff("entry-c-2", "", true)
+		w.drain("b", true)
+		time.Sleep(5 * time.Second)
+		if a, c := w.revision("entry-a-2"), w.revision("entry-c-2"); a != 2 || c != 1 {
+			t.Fatalf("the revisions are %d and %d, want 2 and 1", a, c)
+		}
+		cutOff("entry-a-2", "entry-c-2", true)
+		w.net.setCut("entry-a-2", "entry-c-2", false)
+		w.kill("entry-a-2")
+		w.startEntry("entry-a-2")
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			// The random choice of a peer to pull from falls on the lagging one.
+			w.entries["entry-a-2"].server.takeDelta(w.entries["entry-c-2"].server.delta(0))
+			if s := w.entries["entry-a-2"].server; s.caughtUp() && s.config.Revision() < 2 {
+				t.Fatalf("the entry serves by revision %d after it had served by 2", s.config.Revision())
+			}
+		}
+		cutOff("entry-a-2", "", false)
+		cutOff("entry-c-2", "", false)
+		w.eventually(15*time.Second, "the entry serves by the last revision", func() bool {
+			return w.entries["entry-a-2"].server.caughtUp() && w.revision("entry-a-2") == 2
+		})
+	})
+}
+
+func (w *world) revision(vm string) identifier.Revision {
+	return w.entries[vm].server.config.Revision()
+}
