--- a/cmd/trefoilhead/backup.go
+++ b/cmd/trefoilhead/backup.go
@@ -31,7 +31,7 @@
 	file := fs.String("f", "", "file to write")
 	return &ffcli.Command{
 		Name: "backup", ShortUsage: "trefoilhead backup -f FILE", ShortHelp: "write the configuration to a file",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error { return writeBackup(ctx, &r, *file) },
 	}
 }
@@ -63,7 +63,7 @@
 	fs.StringVar(&a.requestID, "request-id", "", "id of this call; the same one resent gives the first outcome")
 	return &ffcli.Command{
 		Name: "restore", ShortUsage: "trefoilhead restore -f FILE", ShortHelp: "make the declared objects those of a backup, as a new revision",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error { return a.restore(ctx, os.Stdout, *file) },
 	}
 }
--- a/cmd/trefoilhead/load.go
+++ b/cmd/trefoilhead/load.go
@@ -32,7 +32,7 @@
 	report := fs.String("report", "", "file for the report in JSON")
 	return &ffcli.Command{
 		Name: "load", ShortUsage: "trefoilhead load [flags]", ShortHelp: "send load and check every answer",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error {
 			t.Arrivals = loader.Arrivals(*arrivals)
 			l := &loader.Load{
--- a/cmd/trefoilhead/operate.go
+++ b/cmd/trefoilhead/operate.go
@@ -46,7 +46,7 @@
 	fs.StringVar(&a.requestID, "request-id", "", "id of this call; the same one resent gives the first outcome")
 	return &ffcli.Command{
 		Name: "apply", ShortUsage: "trefoilhead apply -f PATH [flags]", ShortHelp: "make the declared state that of the files",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error { return a.run(ctx, os.Stdout) },
 	}
 }
@@ -153,7 +153,7 @@
 	r.register(fs)
 	return &ffcli.Command{
 		Name: "get", ShortUsage: "trefoilhead get [service|team|group|status] [ID]", ShortHelp: "show the declared state, the groups or the processes",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, args []string) error { return get(ctx, os.Stdout, &r, args) },
 	}
 }
@@ -224,7 +224,7 @@
 	requestID := fs.String("request-id", "", "id of this call; the same one resent gives the first outcome")
 	return &ffcli.Command{
 		Name: name, ShortUsage: "trefoilhead " + name + " failure_domain|entry_vm|backend_server ID",
-		ShortHelp: name + " a failure domain, entry VM or backend server", FlagSet: fs, Options: envOptions(),
+		ShortHelp: name + " a failure domain, entry VM or backend server", FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 2 {
 				return flag.ErrHelp
@@ -259,7 +259,7 @@
 	r.register(fs)
 	return &ffcli.Command{
 		Name: "voter", ShortUsage: "trefoilhead voter add|remove VM", ShortHelp: "change the voters of the control logs",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 2 || args[0] != "add" && args[0] != "remove" {
 				return flag.ErrHelp
@@ -282,7 +282,7 @@
 	r.register(fs)
 	return &ffcli.Command{
 		Name: "dump", ShortUsage: "trefoilhead dump [flags]", ShortHelp: "print the state of an entry process",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error { return dump(ctx, os.Stdout, &r) },
 	}
 }
@@ -311,7 +311,7 @@
 	declarations := fs.String("f", "", "file or folder of declarations to check")
 	return &ffcli.Command{
 		Name: "validate", ShortUsage: "trefoilhead validate [-settings FILE] [-f PATH]",
-		ShortHelp: "check settings and declarations without a server", FlagSet: fs, Options: envOptions(),
+		ShortHelp: "check settings and declarations without a server", FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(context.Context, []string) error {
 			var errs []error
 			if *settings != "" {
--- a/cmd/trefoilhead/serve.go
+++ b/cmd/trefoilhead/serve.go
@@ -25,12 +25,20 @@
 	logLevel := fs.String("log-level", "", "debug, info, warn or error; overrides the settings")
 	return &ffcli.Command{
 		Name: "serve", ShortUsage: "trefoilhead serve -settings FILE", ShortHelp: "run an entry process",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error { return serve(ctx, *settings, *logLevel) },
 	}
 }
 
-func envOptions() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix(envPrefix)} }
+// flagOptions lets every flag also come from the environment and from a file of
+// lines with a flag's name and value, in that order of precedence after the
+// command line.
+func flagOptions(fs *flag.FlagSet) []ff.Option {
+	fs.String("config", "", "file of flags, a name and a value in each line")
+	return []ff.Option{
+		ff.WithEnvVarPrefix(envPrefix), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ff.PlainParser),
+	}
+}
 
 func serve(ctx context.Context, file, logLevel string) error {
 	set, err := configurer.Load(file)
@@ -68,7 +76,7 @@
 	logLevel := fs.String("log-level", "error", "debug, info, warn or error")
 	return &ffcli.Command{
 		Name: "demo", ShortUsage: "trefoilhead demo [-once]", ShortHelp: "show a small system on the loopback interface",
-		FlagSet: fs, Options: envOptions(),
+		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error {
 			d := &demonstrator.Demo{Out: os.Stdout, Logger: newLogger(*logLevel), Once: *once}
 			return d.Run(ctx)
