loader: vary the lengths of answers

Cause: a small team's first token p95 under a flood was 426 ms for a reason not found; all answers had 32 tokens, so they ended in waves.

--- a/cmd/trefoilhead/load.go
+++ b/cmd/trefoilhead/load.go
@@ -24,6 +24,7 @@
 	fs.Float64Var(&t.Rate, "rate", 50, "requests per second")
 	arrivals := fs.String("arrivals", string(loader.Poisson), "constant, poisson, ramp or festival")
 	fs.IntVar(&t.Tokens, "tokens", 32, "tokens of each answer")
+	fs.Float64Var(&t.Spread, "spread", 0, "share by which the tokens of answers vary")
 	fs.IntVar(&t.PromptBytes, "prompt-bytes", 400, "mean length of a prompt")
 	fs.IntVar(&t.Prefixes, "prefixes", 0, "number of distinct starts of prompts; 0 makes all differ")
 	duration := fs.Duration("duration", 10*time.Second, "length of the run")
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -50,6 +50,9 @@
 	Arrivals Arrivals `json:"arrivals"`
 	// Tokens is the number of tokens asked for.
 	Tokens int `json:"tokens"`
+	// Spread is the share by which the number of tokens varies evenly around
+	// Tokens: 0.5 means from half to one and a half times as many.
+	Spread float64 `json:"spread"`
 	// PromptBytes is the mean length of a prompt; lengths are exponentially
 	// distributed.
 	PromptBytes int `json:"prompt_bytes"`
@@ -202,7 +205,8 @@
 			return
 		case <-wait.C:
 		}
-		l.startRequest(ctx, t, t.body(r))
+		tokens := t.tokens(r)
+		l.startRequest(ctx, t, t.body(r, tokens), tokens)
 	}
 }
 
@@ -225,7 +229,11 @@
 	return time.Duration(mean)
 }
 
-func (t *Traffic) body(r *rand.Rand) []byte {
+func (t *Traffic) tokens(r *rand.Rand) int {
+	return max(1, int(float64(t.Tokens)*(1+t.Spread*(2*r.Float64()-1))))
+}
+
+func (t *Traffic) body(r *rand.Rand, tokens int) []byte {
 	start := r.Uint64()
 	if t.Prefixes > 0 {
 		start = uint64(r.IntN(t.Prefixes))
@@ -233,7 +241,7 @@
 	n := int(r.ExpFloat64() * float64(t.PromptBytes))
 	prompt := fmt.Sprintf("prefix %d %s", start, strings.Repeat("x", n))
 	b, err := json.Marshal(map[string]any{
-		"model": t.Service, "stream": true, "max_tokens": t.Tokens,
+		"model": t.Service, "stream": true, "max_tokens": tokens,
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
 	})
 	if err != nil {
@@ -243,7 +251,7 @@
 	return b
 }
 
-func (l *Load) startRequest(ctx context.Context, t Traffic, body []byte) {
+func (l *Load) startRequest(ctx context.Context, t Traffic, body []byte, tokens int) {
 	l.mu.Lock()
 	l.sent++
 	n := l.sent
@@ -254,7 +262,7 @@
 		ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 		defer cancel()
 		res := l.ask(ctx, url, t, body, fmt.Sprintf("load-%d-%d", l.Seed, n))
-		l.note(t, res)
+		l.note(t, res, tokens)
 	})
 }
 
@@ -329,7 +337,7 @@
 	}
 }
 
-func (l *Load) note(t Traffic, r result) {
+func (l *Load) note(t Traffic, r result, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	rep := l.reports[t.Team]
@@ -345,7 +353,7 @@
 		rep.Failed++
 	case r.err != nil || !r.marked:
 		rep.Broken++
-	case r.foreign > 0 || r.tokens != t.Tokens:
+	case r.foreign > 0 || r.tokens != tokens:
 		rep.Wrong++
 	default:
 		rep.Complete++
