relayer: drop leftovers

Cause: an unused parameter, an empty id spelled out and a bare number in a test. Change: removed or named. Measured: go test ./internal/relayer: green. Conclusion: reads as meant.

--- a/internal/relayer/claimed.go
+++ b/internal/relayer/claimed.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/claimer"
-	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/refuser"
 )
 
@@ -47,7 +46,7 @@
 		t.refuse(w, why)
 		return
 	}
-	t.answerClaimed(ctx, w, c, reply)
+	t.answerClaimed(w, c, reply)
 }
 
 // claimed is one attempt under an idempotency key.
@@ -152,7 +151,7 @@
 // answerClaimed keeps the answer for resends and sends it to the caller. An
 // answer that broke off is not kept: the claim stays open and a resend is told
 // that the end is not known.
-func (t *Relayer) answerClaimed(_ context.Context, w http.ResponseWriter, c *claimed, reply *Reply) {
+func (t *Relayer) answerClaimed(w http.ResponseWriter, c *claimed, reply *Reply) {
 	defer func() { _ = reply.Body.Close() }()
 	var kept bytes.Buffer
 	_, err := io.Copy(&kept, io.LimitReader(reply.Body, int64(t.Bounds.AnswerBytes)+1))
@@ -173,5 +172,5 @@
 		io.Reader
 		io.Closer
 	}{io.MultiReader(&kept, reply.Body), reply.Body}
-	t.finish(w, &Request{Service: identifier.Service("")}, &Reply{Status: reply.Status, Header: reply.Header, Body: rest})
+	t.finish(w, &Request{}, &Reply{Status: reply.Status, Header: reply.Header, Body: rest})
 }
--- a/internal/relayer/replay_test.go
+++ b/internal/relayer/replay_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/locator"
 	"trefoilhead.org/trefoilhead/internal/refuser"
 )
 
@@ -103,7 +104,7 @@
 
 // TestGateKeepsItsLimit lets many requests compete for a gate of four places.
 func TestGateKeepsItsLimit(t *testing.T) {
-	g := &gate{maxQueue: 100, hold: 2}
+	g := &gate{maxQueue: 100, hold: locator.SoleHold}
 	g.ramp.Cold, g.ramp.Warm = 4, 4
 	var running, most, done atomic.Int32
 	ended := make(chan struct{})
