relayer: retry for free what no backend server has seen

Ruled out: a group that drains too early; all refusals came from owners. Change: only failures of backend servers cost the budget; a group that the owner does not hold as serving is answered as moved, and another one is tried. Conclusion: views that lag cost a retry, not an answer.

--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -76,11 +76,11 @@
 		o.update(id, hold)
 		return nil, "", moved
 	case !view.GetServing():
-		return nil, "", refuser.New(refuser.NoCapacity, refuser.NotRun, "the replica is "+view.GetState()).After(time.Second)
+		return nil, "", refuser.New(refuser.Moved, refuser.NotRun, "the replica is "+view.GetState()).After(time.Second)
 	case o.Locator.DomainDrained(o.Locator.Domain):
 		return nil, "", refuser.New(refuser.Leaving, refuser.NotRun, "the failure domain is taken out").After(time.Second)
 	case o.Missing(now, vmIDs(view.GetMembers())):
-		return nil, "", refuser.New(refuser.NoCapacity, refuser.NotRun, "a member of the replica is silent").After(time.Second)
+		return nil, "", refuser.New(refuser.Moved, refuser.NotRun, "a member of the replica is silent").After(time.Second)
 	}
 	return o.update(id, hold), view.GetAddress(), nil
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -137,6 +137,11 @@
 	case refuser.Overloaded, refuser.DeadlineTooNear, refuser.NoSuchService, refuser.BadRequest:
 		return false
 	}
+	if !blames(why.Code) {
+		// No backend server was asked, so trying elsewhere adds no load. Views
+		// that lag behind a rollout cause many of these.
+		return true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.budget.Retry()
--- a/internal/relayer/replay_test.go
+++ b/internal/relayer/replay_test.go
@@ -137,3 +137,30 @@
 		t.Errorf("the gate is left as %+v", s)
 	}
 }
+
+// TestOnlyServersCostRetries requires that refusals of entries, which no
+// backend server has seen, are always retried, and failures of servers only
+// within the budget.
+func TestOnlyServersCostRetries(t *testing.T) {
+	r := &Relayer{}
+	r.Init()
+	ctx := context.Background()
+	req := &Request{Idempotent: true}
+	for i := range 1000 {
+		if !r.mayRetry(ctx, req, refuser.New(refuser.Moved, refuser.NotRun, "")) {
+			t.Fatalf("refusal %d of an entry was not retried", i)
+		}
+	}
+	retried := 0
+	for range 1000 {
+		if r.mayRetry(ctx, req, refuser.New(refuser.BackendFailed, refuser.Unknown, "")) {
+			retried++
+		}
+	}
+	if retried != retryBurst {
+		t.Errorf("%d failures of servers were retried without any new request, want %d", retried, retryBurst)
+	}
+	if r.mayRetry(ctx, &Request{}, refuser.New(refuser.BackendFailed, refuser.Unknown, "")) {
+		t.Error("a request that must not run twice was retried after an unknown end")
+	}
+}
