dialer: make operators' clients in one place

Cause: the command line took its client from the demo's package and the system tests had a copy; the authority kept each entry's revision without use and spelled a kind of service out. Change: package dialer; the unused field is gone, the constant is used. Conclusion: the logic stands once.

--- a/cmd/trefoilhead/operate.go
+++ b/cmd/trefoilhead/operate.go
@@ -16,7 +16,7 @@
 
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/declarer"
-	"trefoilhead.org/trefoilhead/internal/demonstrator"
+	"trefoilhead.org/trefoilhead/internal/dialer"
 	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1"
 	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1/trefoilheadv1connect"
 )
@@ -33,7 +33,7 @@
 }
 
 func (r *remote) client() trefoilheadv1connect.OperatorClient {
-	return demonstrator.NewOperator(r.url, r.key)
+	return dialer.NewOperator(http.DefaultClient, r.url, r.key)
 }
 
 func newApply() *ffcli.Command {
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -16,6 +16,7 @@
 
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/declarer"
+	"trefoilhead.org/trefoilhead/internal/dialer"
 	"trefoilhead.org/trefoilhead/internal/emulator"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/recorder"
@@ -107,18 +108,7 @@
 }
 
 func (d *Demo) operator() trefoilheadv1connect.OperatorClient {
-	return NewOperator(d.bench.Entries[0].Control(), OperatorKey)
-}
-
-// NewOperator returns a client for operators' calls.
-func NewOperator(url, key string) trefoilheadv1connect.OperatorClient {
-	auth := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
-			r.Header().Set("Authorization", "Bearer "+key)
-			return next(ctx, r)
-		}
-	})
-	return trefoilheadv1connect.NewOperatorClient(&http.Client{}, url, connect.WithInterceptors(auth))
+	return dialer.NewOperator(http.DefaultClient, d.bench.Entries[0].Control(), OperatorKey)
 }
 
 func (d *Demo) apply(ctx context.Context) error {
--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-kit/log/level"
 
+	"trefoilhead.org/trefoilhead/internal/declarer"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/placer"
 	"trefoilhead.org/trefoilhead/internal/recorder"
@@ -46,11 +47,10 @@
 
 // entryRecord is what the authority knows of one entry VM.
 type entryRecord struct {
-	address  string
-	heard    time.Time
-	loads    map[identifier.Group]groupLoad
-	revision identifier.Revision
-	leaving  bool
+	address string
+	heard   time.Time
+	loads   map[identifier.Group]groupLoad
+	leaving bool
 	// view is the version of the placement view that the entry knew when it
 	// made its last report.
 	view uint64
@@ -170,7 +170,7 @@
 	var wants []placer.Want
 	for _, svc := range v.Services() {
 		wants = append(wants, placer.Want{
-			Service: svc.ID, Plain: svc.Kind == "plain", Model: svc.Model, Version: svc.Version,
+			Service: svc.ID, Plain: svc.Kind == declarer.PlainService, Model: svc.Model, Version: svc.Version,
 			Adapters: svc.Adapters, Replicas: svc.Replicas[d], VMs: svc.VMsPerReplica,
 			Accelerators: svc.AcceleratorsPerVM, Priority: svc.Priority,
 			Concurrency: svc.Concurrency, ColdConcurrency: svc.ColdConcurrency,
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -184,7 +184,7 @@
 		e.view = r.GetViewVersion()
 	}
 	last := e.heard
-	e.address, e.heard, e.revision = r.GetAddress(), now, identifier.Revision(r.GetRevision())
+	e.address, e.heard = r.GetAddress(), now
 	e.loads = map[identifier.Group]groupLoad{}
 	for _, l := range r.GetLoads() {
 		e.loads[identifier.Group(l.GetGroup())] = groupLoad{running: l.GetRunning(), limit: l.GetLimit()}
--- a/internal/server/world_test.go
+++ b/internal/server/world_test.go
@@ -21,6 +21,7 @@
 
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/declarer"
+	"trefoilhead.org/trefoilhead/internal/dialer"
 	"trefoilhead.org/trefoilhead/internal/emulator"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/refuser"
@@ -213,13 +214,7 @@
 }
 
 func (w *world) operator(vm string) trefoilheadv1connect.OperatorClient {
-	auth := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
-			r.Header().Set("Authorization", "Bearer "+operatorKey)
-			return next(ctx, r)
-		}
-	})
-	return trefoilheadv1connect.NewOperatorClient(w.client, "http://"+vm+":7002", connect.WithInterceptors(auth))
+	return dialer.NewOperator(w.client, "http://"+vm+":7002", operatorKey)
 }
 
 func (w *world) applyAll() { w.declare("1") }
