placer: go by what an engine announces that it bears

Cause: the announced concurrency was read and not used, and the declared one was set in five places; a group's ready mark was written and never read. Change: one step sets each group's limits, the declared ones or the lower number that its first member announced. Conclusion: a server that says it bears less gets less.

--- a/internal/placer/former.go
+++ b/internal/placer/former.go
@@ -38,7 +38,6 @@
 		if g.info.Service != w.Service || g.info.State != Forming && g.info.State != Serving {
 			continue
 		}
-		g.info.Concurrency, g.info.ColdConcurrency = w.Concurrency, w.ColdConcurrency
 		if g.info.Model == w.Model && g.info.Version == w.Version && slices.Equal(g.info.Adapters, w.Adapters) {
 			current = append(current, g)
 		} else {
@@ -110,7 +109,7 @@
 		ID: identifier.NewGroup(w.Service, p.Domain, fence), Service: w.Service,
 		FabricDomain: chosen[0].server.FabricDomain, Fence: fence, Model: w.Model,
 		Version: w.Version, Adapters: w.Adapters, State: Forming, Reason: "joining",
-		Address: chosen[0].server.Address, Concurrency: w.Concurrency, ColdConcurrency: w.ColdConcurrency,
+		Address: chosen[0].server.Address,
 	}
 	var addresses []string
 	for _, m := range chosen {
--- a/internal/placer/groups.go
+++ b/internal/placer/groups.go
@@ -108,7 +108,6 @@
 		}
 	}
 	if waiting == 0 {
-		g.ready = true
 		g.info.State, g.info.Reason = Serving, ""
 		g.since = now
 		return
@@ -195,8 +194,6 @@
 		case g == nil || g.info.Incarnation != s.Incarnation:
 			p.groups[id] = newPlainGroup(now, id, w, s)
 			p.groups[id].adopted = first
-		default:
-			g.info.Concurrency, g.info.ColdConcurrency = w.Concurrency, w.ColdConcurrency
 		}
 		if g := p.groups[id]; g != nil {
 			p.stepPlainDrain(g, m)
@@ -206,12 +203,11 @@
 
 func newPlainGroup(now time.Time, id identifier.Group, w Want, s Server) *group {
 	return &group{
-		want: w, since: now, ready: true,
+		want: w, since: now,
 		members: []member{{vm: s.VM, incarnation: s.Incarnation, joined: true}},
 		info: GroupInfo{
 			ID: id, Service: w.Service, FabricDomain: s.FabricDomain, Members: []identifier.VM{s.VM},
-			Address: s.Address, State: Serving, Concurrency: w.Concurrency,
-			ColdConcurrency: w.ColdConcurrency, Incarnation: s.Incarnation,
+			Address: s.Address, State: Serving, Incarnation: s.Incarnation,
 		},
 	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -57,7 +57,6 @@
 	since   time.Time
 	// missing is when the first missing member was noticed; zero when whole.
 	missing time.Time
-	ready   bool
 	// adopted groups may have had an owner under the earlier authority.
 	adopted bool
 }
@@ -244,6 +243,7 @@
 	}
 	p.drainUnwanted(now)
 	p.assignOwners()
+	p.setLimits()
 	out := p.out
 	p.out = nil
 	return out
@@ -274,6 +274,22 @@
 	return order
 }
 
+// setLimits gives each group the declared limits, or the lower one that its
+// first member announced.
+func (p *Placer) setLimits() {
+	for _, g := range p.groups {
+		w, declared := p.want(g.info.Service)
+		if !declared || len(g.info.Members) == 0 {
+			continue
+		}
+		warm := w.Concurrency
+		if m := p.vms[g.info.Members[0]]; m != nil && m.server.Concurrency > 0 {
+			warm = min(warm, m.server.Concurrency)
+		}
+		g.info.Concurrency, g.info.ColdConcurrency = warm, min(w.ColdConcurrency, warm)
+	}
+}
+
 // adopt takes over the groups that engines say they are in.
 func (p *Placer) adopt(now time.Time) {
 	for _, m := range p.sorted {
@@ -304,8 +320,7 @@
 		ID: s.Group, Service: s.Group.Service(), FabricDomain: s.FabricDomain,
 		Members: s.GroupMembers, Fence: s.GroupFence, Model: s.Model, Version: s.Version,
 		Adapters: s.Adapters, State: Forming, Reason: "taken over from the earlier authority",
-		Address: p.vms[g.members[0].vm].server.Address, Concurrency: w.Concurrency,
-		ColdConcurrency: w.ColdConcurrency,
+		Address: p.vms[g.members[0].vm].server.Address,
 	}
 	for _, mb := range g.members {
 		p.vms[mb.vm].group = s.Group
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -184,3 +184,27 @@
 		t.Fatalf("unknown command %s", d.Cmd)
 	}
 }
+
+// TestLimitsFollowTheAnnounced lets an engine announce that it bears less than
+// declared. The lower number counts, also for the cold limit, and a change of
+// either is followed.
+func TestLimitsFollowTheAnnounced(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 1)).IntN)
+	f.add("x", 2, func(int) bool { return true })
+	want := Want{Service: "chat", Model: "m", Version: "1", Replicas: 1, VMs: 2, Concurrency: 8, ColdConcurrency: 4}
+	f.placer.SetWants([]Want{want})
+	for _, c := range []struct{ announced, declared, warm, cold uint32 }{
+		{0, 8, 8, 4}, {20, 8, 8, 4}, {3, 8, 3, 3}, {20, 16, 16, 4},
+	} {
+		for _, e := range f.engines {
+			e.s.Concurrency = c.announced
+		}
+		want.Concurrency = c.declared
+		f.placer.SetWants([]Want{want})
+		f.run(time.Minute)
+		groups := f.placer.Groups()
+		if len(groups) != 1 || groups[0].Concurrency != c.warm || groups[0].ColdConcurrency != c.cold {
+			t.Errorf("announced %d, declared %d: groups are %+v, want limits %d and %d", c.announced, c.declared, groups, c.warm, c.cold)
+		}
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -71,7 +71,7 @@
 		a.GetGroupFence() != b.GetGroupFence() || a.GetState() != b.GetState() ||
 		a.GetModel() != b.GetModel() || a.GetVersion() != b.GetVersion() ||
 		a.GetAddress() != b.GetAddress() || a.GetKind() != b.GetKind() ||
-		a.GetHighestFence() != b.GetHighestFence() ||
+		a.GetHighestFence() != b.GetHighestFence() || a.GetConcurrency() != b.GetConcurrency() ||
 		a.GetFabricDomain() != b.GetFabricDomain() || a.GetAccelerators() != b.GetAccelerators() ||
 		!slices.Equal(a.GetAdapters(), b.GetAdapters()) || !slices.Equal(a.GetGroupMembers(), b.GetGroupMembers())
 }
