--- a/cmd/trefoilhead/main.go
+++ b/cmd/trefoilhead/main.go
@@ -42,7 +42,7 @@
 		Name:       "trefoilhead",
 		ShortUsage: "trefoilhead <command> [flags]",
 		Subcommands: []*ffcli.Command{
-			newServe(), newApply(), newGet(), newDrain("drain", true), newDrain("undrain", false),
+			newServe(), newFront(), newCore(), newApply(), newGet(), newDrain("drain", true), newDrain("undrain", false),
 			newDump(), newBackup(), newRestore(), newVoter(), newValidate(), newDemo(), newLoad(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- /dev/null
+++ b/cmd/trefoilhead/node.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"trefoilhead.org/trefoilhead/internal/configurer"
+	"trefoilhead.org/trefoilhead/internal/coordinator"
+	"trefoilhead.org/trefoilhead/internal/fronter"
+	"trefoilhead.org/trefoilhead/internal/reloader"
+	"trefoilhead.org/trefoilhead/internal/server"
+	"trefoilhead.org/trefoilhead/internal/timekeeper"
+	"trefoilhead.org/trefoilhead/platform"
+)
+
+// nodeSilence is how long a connection of a front or core process to another
+// process or a backend server may be silent on the network's level: well below
+// the shortest time in which a deployment expects others to notice.
+const nodeSilence = time.Second
+
+func newFront() *ffcli.Command {
+	return newNode("front", "run a front process on the users' platform", configurer.Front, runFront)
+}
+
+func newCore() *ffcli.Command {
+	return newNode("core", "run a core process on the users' platform", configurer.Core, runCore)
+}
+
+func newNode(
+	name, help string, role configurer.Role,
+	run func(ctx context.Context, file string, set configurer.Node, logger log.Logger) error,
+) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	file := fs.String("settings", name+".yaml", "settings file")
+	logLevel := fs.String("log-level", "", "debug, info, warn or error; overrides the settings")
+	return &ffcli.Command{
+		Name: name, ShortUsage: "trefoilhead " + name + " -settings FILE", ShortHelp: help,
+		FlagSet: fs, Options: flagOptions(fs),
+		Exec: func(ctx context.Context, _ []string) error {
+			set, err := configurer.LoadNode(*file, role)
+			if err != nil {
+				return err
+			}
+			if *logLevel != "" {
+				set.Logs.Level = *logLevel
+			}
+			return run(ctx, *file, set, newNodeLogger(set.Logs.Level))
+		},
+	}
+}
+
+// newNodeLogger writes to standard output, where the platform takes logs.
+func newNodeLogger(lowest string) log.Logger {
+	l := log.NewLogfmtLogger(log.NewSyncWriter(os.Stdout))
+	l = log.With(l, "time", log.DefaultTimestampUTC)
+	return level.NewFilter(l, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
+}
+
+func runFront(ctx context.Context, file string, set configurer.Node, logger log.Logger) error {
+	f := &fronter.Front{
+		Settings: set, Logger: logger, Network: server.NewNetwork(nodeSilence), Dialect: platform.Dialect{},
+		Decode: platform.DecodeCatalog, Elapsed: timekeeper.Elapsed, Seed: uint64(time.Now().UnixNano()),
+	}
+	f.Readiness = platform.NewReadiness(f.Ready)
+	f.Init()
+	go watchSettings(ctx, file, configurer.Front, logger, f.SetSeeds)
+	return f.Run(ctx)
+}
+
+func runCore(ctx context.Context, file string, set configurer.Node, logger log.Logger) error {
+	network := server.NewNetwork(nodeSilence)
+	c := &coordinator.Coordinator{
+		Settings: set, Logger: logger, Network: network, Decode: platform.DecodeCatalog,
+		Elapsed: timekeeper.Elapsed, Seed: uint64(time.Now().UnixNano()),
+		Engines: &platform.Engines{
+			Logger: logger,
+			Client: &http.Client{Transport: &http.Transport{
+				DialContext: network.DialContext, DisableCompression: true, IdleConnTimeout: time.Second,
+			}},
+		},
+	}
+	c.Handler = platform.NewControl(c, logger)
+	c.Init()
+	go watchSettings(ctx, file, configurer.Core, logger, c.SetSeeds)
+	return c.Run(ctx)
+}
+
+// watchSettings takes over what may change while a process runs.
+func watchSettings(ctx context.Context, file string, role configurer.Role, logger log.Logger, apply func(*configurer.Node)) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	reloader.Watch(ctx, file, hups, func() {
+		set, err := configurer.LoadNode(file, role)
+		if err != nil {
+			_ = level.Error(logger).Log("msg", "changed settings are not taken", "err", err)
+			return
+		}
+		apply(&set)
+		_ = level.Info(logger).Log("msg", "settings were read again", "seeds", len(set.Seeds))
+	})
+}
--- /dev/null
+++ b/internal/cataloger/catalog.go
@@ -0,0 +1,288 @@
+// Package cataloger holds what operators publish as one piece: routes, services,
+// teams and limits, under a version that they choose.
+//
+// A Catalog is read-only once Index has been called. It answers the two
+// questions that every request asks: which route it takes and whose key it
+// carries.
+package cataloger
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// Error is the class of every error of this package.
+var Error = errs.Class("catalog")
+
+// Version numbers catalogs. The highest one is in force.
+type Version uint64
+
+// Kind tells what may be done with a request of a route.
+type Kind int
+
+// Kinds of route.
+const (
+	// Once may run at most once.
+	Once Kind = iota
+	// Idempotent may run more than once.
+	Idempotent
+	// Stream is answered by a series of events.
+	Stream
+)
+
+// String returns the kind in lower case.
+func (k Kind) String() string {
+	switch k {
+	case Once:
+		return "once"
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	}
+	return fmt.Sprintf("kind_%d", int(k))
+}
+
+// Target is one service of a route and its share of the route's requests.
+type Target struct {
+	Service identifier.Service
+	Weight  int
+}
+
+// Route says where the requests of one host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to the first event of a stream,
+	// within which the answer is worth most.
+	Objective time.Duration
+	// GapObjective is the longest pause between two events of a stream that is
+	// on time.
+	GapObjective time.Duration
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	Targets  []Target
+	// MaxAttempts is the number of backend servers that may get one request.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another backend server.
+	Resumable bool
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Model is one model of an engine service.
+type Model struct {
+	Name string
+	// Size is the number of VMs of a replica group.
+	Size int
+	// Pace multiplies every time of the engine.
+	Pace float64
+	// Share is the model's part of the service's work at first.
+	Share float64
+	// Load is the time to load the weights from the store, Warm the time to
+	// join when they are on the VM.
+	Load time.Duration
+	Warm time.Duration
+}
+
+// Engine describes how the backend servers of a service run models.
+type Engine struct {
+	// Slots is the number of requests that a group runs at once.
+	Slots int
+	// KVTokens is the number of tokens that fit into a group's memory.
+	KVTokens int
+	// Stride is the number of token steps in one pass, and of tokens in one
+	// event.
+	Stride int
+	// Step is the time of one token step; PerRequest is added for each request
+	// that writes, and PerThousandTokens for each thousand tokens of its context.
+	Step              time.Duration
+	PerRequest        time.Duration
+	PerThousandTokens time.Duration
+	// ReadPerSecond is the number of prompt tokens read in a second.
+	ReadPerSecond float64
+	// LoadsPerSecond is the most loads from the weight store that may start in
+	// a second, LoadsAtOnce the number that run at full speed.
+	LoadsPerSecond float64
+	LoadsAtOnce    int
+	// KeepStaged is the number of models that a VM keeps on its host.
+	KeepStaged int
+	Models     []Model
+	// UsualAnswer is the mean number of tokens of an answer.
+	UsualAnswer int
+}
+
+// Model returns the model of a name.
+func (e *Engine) Model(name string) (Model, bool) {
+	for _, m := range e.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Service describes the backend servers of one service.
+type Service struct {
+	Name       identifier.Service
+	HealthPath string
+	// MaxConnections bounds the connections to one backend server from all
+	// entry VMs together.
+	MaxConnections int
+	// ColdPerSecond is the number of requests a second that a cold backend
+	// server bears; 0 means that it is never cold.
+	ColdPerSecond float64
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Team is a group of callers that share keys.
+type Team struct {
+	Name     identifier.Team
+	Keys     []string
+	Priority int
+}
+
+// Catalog is everything at one version.
+type Catalog struct {
+	Version  Version
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	Teams    []Team
+
+	hosts    map[string][]*Route
+	keys     map[string]*Team
+	services map[identifier.Service]*Service
+}
+
+// Index checks the catalog and prepares its look-ups. The error lists every
+// finding.
+func (c *Catalog) Index() error {
+	var found []string
+	add := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	if c.Version == 0 {
+		add("version: has to be above 0")
+	}
+	c.services = map[identifier.Service]*Service{}
+	for i := range c.Services {
+		s := &c.Services[i]
+		if s.Name == "" {
+			add("service %d: has no name", i)
+		}
+		if c.services[s.Name] != nil {
+			add("service %q: is listed twice", s.Name)
+		}
+		c.services[s.Name] = s
+	}
+	c.hosts = map[string][]*Route{}
+	for i := range c.Routes {
+		c.indexRoute(&c.Routes[i], add)
+	}
+	c.keys = map[string]*Team{}
+	for i := range c.Teams {
+		t := &c.Teams[i]
+		for _, k := range t.Keys {
+			if other := c.keys[k]; other != nil && other.Name != t.Name {
+				add("team %q: shares a key with team %q", t.Name, other.Name)
+			}
+			c.keys[k] = t
+		}
+	}
+	if len(found) > 0 {
+		return Error.New("%s", strings.Join(found, "; "))
+	}
+	return nil
+}
+
+func (c *Catalog) indexRoute(r *Route, add func(string, ...any)) {
+	place := r.Host + r.Prefix
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		add("route %q: the prefix %q does not begin and end with a slash", r.Name, r.Prefix)
+	}
+	if r.Timeout <= 0 {
+		add("route %q: the timeout has to be above 0", r.Name)
+	}
+	sum := 0
+	for _, t := range r.Targets {
+		if c.services[t.Service] == nil {
+			add("route %q: the service %q is not listed", r.Name, t.Service)
+		}
+		if t.Weight < 0 {
+			add("route %q: the weight of %q is below 0", r.Name, t.Service)
+		}
+		sum += max(t.Weight, 0)
+	}
+	if sum == 0 {
+		add("route %q: its weights add up to 0", r.Name)
+	}
+	host := strings.ToLower(r.Host)
+	i, taken := slices.BinarySearchFunc(c.hosts[host], r.Prefix, func(o *Route, prefix string) int {
+		// Longer prefixes first, so that the first match is the longest.
+		return cmp.Or(cmp.Compare(len(prefix), len(o.Prefix)), strings.Compare(o.Prefix, prefix))
+	})
+	if taken {
+		add("route %q: another route has %q", r.Name, place)
+		return
+	}
+	c.hosts[host] = slices.Insert(c.hosts[host], i, r)
+}
+
+// Route returns the route of a host and path, or nil. The longest prefix wins.
+func (c *Catalog) Route(host, path string) *Route {
+	for _, r := range c.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Team returns the team that holds a key, or nil.
+func (c *Catalog) Team(key string) *Team { return c.keys[key] }
+
+// HasTeams reports whether requests need keys at all.
+func (c *Catalog) HasTeams() bool { return len(c.Teams) > 0 }
+
+// Service returns a service by its name, or nil.
+func (c *Catalog) Service(name identifier.Service) *Service { return c.services[name] }
+
+// Cost estimates the engine time of a request: reading its prompt, and its part
+// of the passes that write its answer while all places are taken.
+func (e *Engine) Cost(model string, prompt, answer int) time.Duration {
+	const usualContext = 1.5 // thousand tokens of one request
+	m, ok := e.Model(model)
+	if !ok || e.ReadPerSecond <= 0 || e.Slots <= 0 {
+		return 0
+	}
+	if answer <= 0 {
+		answer = e.UsualAnswer
+	}
+	read := float64(prompt) / e.ReadPerSecond * float64(time.Second)
+	step := float64(e.Step)/float64(e.Slots) + float64(e.PerRequest) + usualContext*float64(e.PerThousandTokens)
+	return time.Duration((read + float64(answer)*step) * m.Pace)
+}
--- /dev/null
+++ b/internal/chooser/chooser.go
@@ -0,0 +1,368 @@
+// Package chooser chooses the backend server for a request at one front.
+//
+// It predicts when each server would give the first event, from the work that
+// this front and the others have there and from the engine's declared times, and
+// takes the earliest. A request that no server can begin in time is refused at
+// once, with a time at which to come back. It is a core without input or output.
+package chooser
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// Bounds that depend on no deployment.
+const (
+	// otherDomain is added to the prediction for a server of another failure
+	// domain: a round trip, and a preference that saves bytes between domains.
+	otherDomain = 6 * time.Millisecond
+	// suspectFor is how long a server is avoided after it failed a request.
+	suspectFor = time.Second
+	// suspectLimit bounds that time when failures follow each other.
+	suspectLimit = 8 * time.Second
+	// plainWork is the expected time of a request at a plain service.
+	plainWork = 60 * time.Millisecond
+	// leastRetryAfter and mostRetryAfter bound the time after which a refused
+	// request may come back.
+	leastRetryAfter = 200 * time.Millisecond
+	mostRetryAfter  = 2 * time.Second
+	// noServerRetryAfter is that time when nobody serves the model.
+	noServerRetryAfter = 500 * time.Millisecond
+)
+
+// Ask describes a request.
+type Ask struct {
+	Service identifier.Service
+	// Model is empty at a plain service.
+	Model        string
+	PromptTokens int
+	// Patience is how long the first event may take from now on.
+	Patience time.Duration
+	// Tried are servers that the request was sent to before.
+	Tried []identifier.Server
+	// Urgent requests go to a server even when they will be late, because they
+	// have run in part.
+	Urgent bool
+}
+
+// Choice is the outcome of an Ask: a server, or why there is none.
+type Choice struct {
+	Server *tracker.Server
+	// Expected is the predicted time to the first event.
+	Expected time.Duration
+	// Reason says why there is no server, RetryAfter when to come back.
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Reasons for a refusal.
+const (
+	NoServer   = "no_server"
+	Overloaded = "overloaded"
+	ColdServer = "cold"
+)
+
+// work is what is known of the work at one server.
+type work struct {
+	// running and unread are this front's own.
+	running int
+	unread  int
+	// others is what the other fronts had at the last report.
+	othersRunning int
+	othersUnread  int
+	answered      time.Time
+	unreachable   int
+	failures      int
+	suspectUntil  time.Time
+	// nextCold is the earliest time of the next request to a cold server.
+	nextCold time.Time
+}
+
+// Chooser holds what one front knows. Exported fields are set before use, but
+// Fronts may change between calls. It is not safe for concurrent use.
+type Chooser struct {
+	Domain identifier.FailureDomain
+	Rand   *rand.Rand
+	// Fronts is the number of fronts that share a cold server's rate.
+	Fronts int
+	// ColdStretch and ColdSlack stretch the declared rate of a cold server.
+	ColdStretch float64
+	ColdSlack   float64
+
+	catalog *cataloger.Catalog
+	// servers lists the servers that may take requests.
+	servers map[identifier.Service][]*tracker.Server
+	work    map[identifier.Server]*work
+}
+
+// SetCatalog replaces the catalog.
+func (c *Chooser) SetCatalog(cat *cataloger.Catalog) { c.catalog = cat }
+
+// SetServers replaces the servers by those of a registry, less those in failure
+// domains that are taken out.
+func (c *Chooser) SetServers(all []*tracker.Server, evacuated map[identifier.FailureDomain]bool) {
+	c.servers = map[identifier.Service][]*tracker.Server{}
+	known := map[identifier.Server]bool{}
+	for _, s := range all {
+		known[s.ID] = true
+		if evacuated[s.Domain] || !s.Usable() {
+			continue
+		}
+		c.servers[s.Service] = append(c.servers[s.Service], s)
+	}
+	for id, w := range c.work {
+		if !known[id] && w.running == 0 {
+			delete(c.work, id)
+		}
+	}
+}
+
+// SetOthers replaces what the other fronts have at the servers.
+func (c *Chooser) SetOthers(loads map[identifier.Server]Load) {
+	for id, w := range c.work {
+		if _, listed := loads[id]; !listed {
+			w.othersRunning, w.othersUnread = 0, 0
+		}
+	}
+	for id, l := range loads {
+		w := c.at(id)
+		w.othersRunning, w.othersUnread = l.Running, l.Unread
+	}
+}
+
+// Load is the work at one server.
+type Load struct {
+	Running int
+	// Unread is the number of prompt tokens of requests without a first event.
+	Unread int
+}
+
+func (c *Chooser) at(id identifier.Server) *work {
+	w := c.work[id]
+	if w == nil {
+		if c.work == nil {
+			c.work = map[identifier.Server]*work{}
+		}
+		w = &work{}
+		c.work[id] = w
+	}
+	return w
+}
+
+// Choose returns the server for a request.
+func (c *Chooser) Choose(now time.Time, a Ask) Choice {
+	svc := c.catalog.Service(a.Service)
+	if svc == nil {
+		return Choice{Reason: NoServer, RetryAfter: noServerRetryAfter}
+	}
+	best := Choice{Reason: NoServer, RetryAfter: noServerRetryAfter}
+	least := time.Duration(math.MaxInt64)
+	soonest := time.Duration(math.MaxInt64)
+	for _, s := range c.servers[a.Service] {
+		if !c.mayServe(s, svc, &a) {
+			continue
+		}
+		if !c.coldAllows(now, s, svc) {
+			if best.Server == nil {
+				best.Reason, best.RetryAfter = ColdServer, leastRetryAfter
+			}
+			continue
+		}
+		expected := c.predict(s, svc, &a)
+		soonest = min(soonest, expected)
+		rank := c.rank(now, s, expected)
+		if rank < least {
+			least = rank
+			best = Choice{Server: s, Expected: expected}
+		}
+	}
+	if best.Server != nil && !a.Urgent && soonest > a.Patience {
+		late := soonest - a.Patience
+		return Choice{Reason: Overloaded, RetryAfter: c.spread(late)}
+	}
+	return best
+}
+
+// mayServe reports whether a server can take a request at all.
+func (c *Chooser) mayServe(s *tracker.Server, svc *cataloger.Service, a *Ask) bool {
+	if slices.Contains(a.Tried, s.ID) {
+		return false
+	}
+	if svc.Engine == nil {
+		return !s.Silent || c.at(s.ID).unreachable == 0
+	}
+	if !s.Serving() || !slices.Contains(s.Models, a.Model) {
+		return false
+	}
+	return !s.Silent || c.at(s.ID).unreachable == 0
+}
+
+// coldAllows reports whether a cold server's share of this front allows one more
+// request now.
+func (c *Chooser) coldAllows(now time.Time, s *tracker.Server, svc *cataloger.Service) bool {
+	return svc.ColdPerSecond <= 0 || !s.Cold(now) || !now.Before(c.at(s.ID).nextCold)
+}
+
+// coldPace is the time between two requests of this front to a cold server.
+func (c *Chooser) coldPace(svc *cataloger.Service) time.Duration {
+	const margin = 0.8
+	rate := (svc.ColdPerSecond*max(c.ColdStretch, 1) + c.ColdSlack) * margin / float64(max(c.Fronts, 1))
+	return time.Duration(float64(time.Second) / rate)
+}
+
+// predict returns the time to the first event of a request at a server.
+func (c *Chooser) predict(s *tracker.Server, svc *cataloger.Service, a *Ask) time.Duration {
+	w := c.at(s.ID)
+	running := w.running + w.othersRunning
+	e := svc.Engine
+	if e == nil {
+		waves := float64(running+1) / float64(max(s.Slots, 1))
+		return time.Duration(max(waves, 1) * float64(plainWork))
+	}
+	m, _ := e.Model(a.Model)
+	unread := w.unread + w.othersUnread + a.PromptTokens
+	pass := passTime(e, m, min(running, e.Slots))
+	read := time.Duration(float64(unread) / e.ReadPerSecond * m.Pace * float64(time.Second))
+	wait := time.Duration(0)
+	if over := running + 1 - e.Slots; over > 0 {
+		events := float64(e.UsualAnswer) / float64(e.Stride)
+		answer := time.Duration(events*float64(pass)) + read/2
+		wait = time.Duration(float64(over) / float64(max(e.Slots, 1)) * float64(answer))
+	}
+	return wait + read + pass + pass/2
+}
+
+// passTime is the time of one pass of an engine that runs n requests.
+func passTime(e *cataloger.Engine, m cataloger.Model, n int) time.Duration {
+	const usualContext = 1.5 // thousand tokens of one request
+	perRequest := e.PerRequest + time.Duration(usualContext*float64(e.PerThousandTokens))
+	step := float64(e.Step) + float64(n)*float64(perRequest)
+	return time.Duration(step * float64(e.Stride) * m.Pace)
+}
+
+// rank orders the servers: by prediction, with penalties.
+func (c *Chooser) rank(now time.Time, s *tracker.Server, expected time.Duration) time.Duration {
+	const (
+		suspectPenalty = 10 * time.Second
+		jitter         = 2 * time.Millisecond
+	)
+	rank := expected + time.Duration(c.Rand.Int64N(int64(jitter)))
+	if s.Domain != c.Domain {
+		rank += otherDomain
+	}
+	w := c.at(s.ID)
+	if now.Before(w.suspectUntil) || s.Silent {
+		rank += suspectPenalty
+	}
+	return rank
+}
+
+// spread returns a time to come back that is different for each caller, so that
+// they do not all come at once.
+func (c *Chooser) spread(late time.Duration) time.Duration {
+	base := min(max(late, leastRetryAfter), mostRetryAfter)
+	return base + time.Duration(c.Rand.Int64N(int64(base)))
+}
+
+// Sent notes that a request goes to a server.
+func (c *Chooser) Sent(now time.Time, id identifier.Server, prompt int) {
+	w := c.at(id)
+	w.running++
+	w.unread += prompt
+	if s, svc := c.find(id); s != nil && svc != nil && svc.ColdPerSecond > 0 {
+		w.nextCold = now.Add(c.coldPace(svc))
+	}
+}
+
+func (c *Chooser) find(id identifier.Server) (*tracker.Server, *cataloger.Service) {
+	for name, servers := range c.servers {
+		for _, s := range servers {
+			if s.ID == id {
+				return s, c.catalog.Service(name)
+			}
+		}
+	}
+	return nil, nil
+}
+
+// Begun notes the first event of a request.
+func (c *Chooser) Begun(now time.Time, id identifier.Server, prompt int) {
+	w := c.at(id)
+	w.unread -= prompt
+	c.Moved(now, id)
+}
+
+// Moved notes that a server has answered something.
+func (c *Chooser) Moved(now time.Time, id identifier.Server) {
+	w := c.at(id)
+	w.answered = now
+	w.unreachable = 0
+}
+
+// Ended notes the end of a request. Unread is its prompt if it had no first
+// event.
+func (c *Chooser) Ended(id identifier.Server, unread int) {
+	w := c.at(id)
+	w.running--
+	w.unread -= unread
+}
+
+// Succeeded notes a whole answer.
+func (c *Chooser) Succeeded(id identifier.Server) { c.at(id).failures = 0 }
+
+// Failed notes that a server failed or refused a request.
+func (c *Chooser) Failed(now time.Time, id identifier.Server) {
+	const maxDoublings = 6
+	w := c.at(id)
+	w.suspectUntil = now.Add(min(suspectFor<<min(w.failures, maxDoublings), suspectLimit))
+	w.failures++
+}
+
+// Unreachable notes that no connection to a server could be opened.
+func (c *Chooser) Unreachable(now time.Time, id identifier.Server) {
+	c.at(id).unreachable++
+	c.Failed(now, id)
+}
+
+// AnsweredAgo returns the time since a server's last answer to this front.
+func (c *Chooser) AnsweredAgo(now time.Time, id identifier.Server) time.Duration {
+	return now.Sub(c.at(id).answered)
+}
+
+// Loads returns this front's own work at the servers.
+func (c *Chooser) Loads() map[identifier.Server]Load {
+	out := map[identifier.Server]Load{}
+	for id, w := range c.work {
+		if w.running > 0 {
+			out[id] = Load{Running: w.running, Unread: w.unread}
+		}
+	}
+	return out
+}
+
+// Evidence is what this front's requests have shown of one server.
+type Evidence struct {
+	AnsweredAgo time.Duration
+	Unreachable int
+	Running     int
+}
+
+// Evidence returns what is known of the servers with running requests, recent
+// answers or failed connections.
+func (c *Chooser) Evidence(now time.Time) map[identifier.Server]Evidence {
+	const recent = 3 * time.Second
+	out := map[identifier.Server]Evidence{}
+	for id, w := range c.work {
+		ago := now.Sub(w.answered)
+		if w.running > 0 || w.unreachable > 0 || ago < recent {
+			out[id] = Evidence{AnsweredAgo: ago, Unreachable: w.unreachable, Running: w.running}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordinator/place.go
@@ -0,0 +1,153 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"trefoilhead.org/trefoilhead/internal/grouper"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/replicator"
+)
+
+// placement is the leader's part: the groups and the orders under way.
+type placement struct {
+	grouper grouper.Grouper
+	// term is the term of the Grouper's present authority, 0 for none.
+	term    replicator.Term
+	samples []demandSample
+}
+
+// demandSample is the sum of what all callers had asked for at one time.
+type demandSample struct {
+	at     time.Time
+	engine map[string]uint64
+}
+
+// Bounds of placement.
+const (
+	// orderBound is how long an order may stay unanswered.
+	orderBound = 700 * time.Millisecond
+	// demandPace and demandSpan say how often and over how long demand is
+	// measured.
+	demandPace = time.Second
+	demandSpan = 5 * time.Second
+	// startSpan is how long after its start a process of a first start may
+	// assume that no group exists.
+	startSpan = 5 * time.Second
+)
+
+// place lets the Grouper decide when this process has authority, and sends its
+// orders.
+func (c *Coordinator) place(ctx context.Context, now time.Time) {
+	term, ok := c.authority()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := &c.placement
+	if !ok {
+		if p.term != 0 {
+			_ = level.Info(c.Logger).Log("msg", "placement authority is lost", "term", p.term)
+		}
+		p.term = 0
+		return
+	}
+	if c.catalog == nil {
+		return
+	}
+	if p.term != term {
+		first := c.Settings.FirstStart && term <= maxFirstTerm && now.Sub(c.started) < startSpan
+		p.grouper.Begin(now, uint64(term), first)
+		p.term = term
+		p.samples = nil
+		_ = level.Info(c.Logger).Log("msg", "placement authority is held", "term", term, "first_start", first)
+	}
+	orders, notes := p.grouper.Step(now, c.placementView(now))
+	for _, n := range notes {
+		_ = level.Info(c.Logger).Log("msg", n.Text, "group", n.Group.ID, "model", n.Group.Model, "fabric", n.Group.Fabric,
+			"members", joinServers(n.Group.Members), "phase", n.Group.Phase, "reason", n.Group.Reason)
+	}
+	for _, o := range orders {
+		go c.carry(ctx, term, o)
+	}
+}
+
+// placementView collects what the Grouper goes by. The caller holds mu.
+func (c *Coordinator) placementView(now time.Time) grouper.View {
+	state, _ := c.keeper.State()
+	v := grouper.View{
+		Registry: &c.registry, Catalog: c.catalog, Evacuated: map[identifier.FailureDomain]bool{},
+		Doubts: map[identifier.Server]grouper.Doubt{}, Demand: c.demand(now),
+	}
+	for _, d := range state.Evacuated {
+		v.Evacuated[d] = true
+	}
+	for id, d := range c.allDoubts(now) {
+		v.Doubts[id] = grouper.Doubt{
+			AnsweredAgo: time.Duration(d.GetAnsweredAgoMs()) * time.Millisecond,
+			Unreachable: int(d.GetUnreachable()), Stalled: int(d.GetStalled()),
+		}
+	}
+	return v
+}
+
+// demand returns the engine time asked for in each second by model, in seconds,
+// over the last span. The caller holds mu.
+func (c *Coordinator) demand(now time.Time) map[string]float64 {
+	p := &c.placement
+	if len(p.samples) == 0 || now.Sub(p.samples[len(p.samples)-1].at) >= demandPace {
+		sum := demandBook{}
+		sum.add(c.served.encode())
+		for _, peer := range c.peers {
+			sum.add(peer.hello.GetDemands())
+		}
+		s := demandSample{at: now, engine: map[string]uint64{}}
+		for _, d := range sum {
+			s.engine[d.GetModel()] += d.GetEngineMs()
+		}
+		p.samples = append(p.samples, s)
+		for len(p.samples) > 2 && now.Sub(p.samples[1].at) >= demandSpan {
+			p.samples = p.samples[1:]
+		}
+	}
+	first, last := p.samples[0], p.samples[len(p.samples)-1]
+	span := last.at.Sub(first.at).Seconds()
+	if span <= 0 {
+		return nil
+	}
+	out := map[string]float64{}
+	for model, ms := range last.engine {
+		// A core process that restarted counts from 0 again.
+		if ms > first.engine[model] {
+			out[model] = float64(ms-first.engine[model]) / 1000 / span
+		}
+	}
+	return out
+}
+
+// carry sends one order and gives its end to the Grouper, if that is still the
+// one that decided it.
+func (c *Coordinator) carry(ctx context.Context, term replicator.Term, o grouper.Order) {
+	bounded, cancel := context.WithTimeout(ctx, orderBound)
+	defer cancel()
+	begun := time.Now()
+	outcome := c.Engines.Carry(bounded, o)
+	_ = level.Info(c.Logger).Log("msg", "order", "action", o.Action, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
+		"model", o.Model, "cut", o.Cut, "outcome", outcome, "took", time.Since(begun), "reason", o.Reason)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.placement.term == term {
+		c.placement.grouper.Ended(time.Now(), o, outcome)
+	}
+}
+
+func joinServers(ids []identifier.Server) string {
+	out := ""
+	for i, id := range ids {
+		if i > 0 {
+			out += ","
+		}
+		out += string(id)
+	}
+	return out
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -61,15 +61,15 @@
 
 // Bounds of the log's size.
 const (
-	// snapshotEvery is the least number of applied entries between two
+	// defaultSnapshotEvery is the least number of applied entries between two
 	// snapshots.
-	snapshotEvery = 4096
+	defaultSnapshotEvery = 4096
 	// snapshotShare times the size of the last snapshot is the least size of
 	// the commands between two, so that a large state is not written again and
 	// again.
 	snapshotShare = 2
-	// trailingEntries stay in memory behind a snapshot for lagging voters.
-	trailingEntries = 1024
+	// defaultTrailing entries stay in memory behind a snapshot for lagging voters.
+	defaultTrailing = 1024
 	inboxLength     = 4096
 	electionTicks   = 10
 	heartbeatTicks  = 4
@@ -89,6 +89,12 @@
 	KeepCommit bool
 	// Rand draws election limits; it is used by Run only.
 	Rand *rand.Rand
+	// Start says what a voter with an empty data folder does.
+	Start StartMode
+	// SnapshotEvery is the least number of applied entries between two
+	// snapshots; Trailing entries stay in memory behind one for lagging voters.
+	SnapshotEvery replicator.Index
+	Trailing      replicator.Index
 
 	inbox   chan any
 	node    *replicator.Node
@@ -107,6 +113,20 @@
 	failed error
 }
 
+// StartMode says what a voter does that finds its data folder empty.
+type StartMode int
+
+// Ways to start.
+const (
+	// AskVoters asks the other first voters whether the log is new.
+	AskVoters StartMode = iota
+	// NewLog starts the log with the first voters. It may be chosen only when
+	// it is certain that no voter has started before.
+	NewLog
+	// JoinLog takes a new identity, which is no voter until it is added.
+	JoinLog
+)
+
 type proposal struct {
 	data   []byte
 	voters []replicator.NodeID
@@ -127,6 +147,12 @@
 // Init prepares the driver so that Deliver and Propose may be called. It is
 // called before Run.
 func (d *Driver) Init() {
+	if d.SnapshotEvery == 0 {
+		d.SnapshotEvery = defaultSnapshotEvery
+	}
+	if d.Trailing == 0 {
+		d.Trailing = defaultTrailing
+	}
 	d.inbox = make(chan any, inboxLength)
 	d.waiting = map[replicator.Index][]waiter{}
 	d.Logger = log.With(d.Logger, "part", "log", "log", d.Name)
@@ -196,8 +222,16 @@
 	d.marked = stored.Snapshot.Index
 	d.snapshotBytes = len(stored.Snapshot.Data)
 	d.node.Start(stored)
-	if id == "" {
-		d.startProbe()
+	switch {
+	case id != "":
+	case len(stored.Entries) > 0:
+		// A new log was started here, but its identity was not stored any more.
+		d.node.ID = replicator.NodeID(d.VM)
+		if err := d.Journal.SaveIdentity(d.node.ID); err != nil {
+			return err
+		}
+	default:
+		d.startEmpty()
 	}
 	d.publish()
 	return d.flush()
@@ -286,6 +320,9 @@
 		if n := len(out.Entries); n > 0 {
 			d.node.Saved(out.Entries[n-1].Index)
 		}
+		// Whoever asks for the status must not see an older term than the
+		// messages that leave now.
+		d.publish()
 		for _, m := range out.Messages {
 			d.Sender.SendLog(VMOf(m.To), d.Name, m)
 		}
@@ -355,7 +392,7 @@
 // startSnapshot serializes the state beside the loop when the log has grown
 // enough, so that a large state does not hold up elections.
 func (d *Driver) startSnapshot(ctx context.Context) {
-	if d.freezing || d.applied < d.marked+snapshotEvery || d.appliedBytes < snapshotShare*d.snapshotBytes {
+	if d.freezing || d.applied < d.marked+d.SnapshotEvery || d.appliedBytes < snapshotShare*d.snapshotBytes {
 		return
 	}
 	d.freezing = true
@@ -373,7 +410,7 @@
 // leader sent meanwhile makes it void.
 func (d *Driver) storeSnapshot(f frozen) error {
 	d.freezing = false
-	s, ok := d.node.Compact(f.index, f.data, trailingEntries)
+	s, ok := d.node.Compact(f.index, f.data, d.Trailing)
 	if !ok {
 		return nil
 	}
--- a/internal/driver/probe.go
+++ b/internal/driver/probe.go
@@ -22,6 +22,20 @@
 	term  replicator.Term
 }
 
+// startEmpty settles the identity of a voter whose data folder is empty.
+func (d *Driver) startEmpty() {
+	d.probing = &probeRound{}
+	switch d.Start {
+	case NewLog:
+		d.settleProbe(replicator.NodeID(d.VM), replicator.NewStored(d.firstVoters()))
+		d.node.Hasten()
+	case JoinLog:
+		d.settleProbe(newDiskID(d.VM, d.Rand), replicator.Stored{})
+	default:
+		d.startProbe()
+	}
+}
+
 func (d *Driver) startProbe() {
 	d.probing = &probeRound{
 		nonce: replicator.Index(d.Rand.Uint64()),
@@ -80,7 +94,7 @@
 
 func (d *Driver) settleProbe(id replicator.NodeID, s replicator.Stored) {
 	d.probing = nil
-	if err := d.Journal.Save(replicator.Output{State: &s.State}); err != nil {
+	if err := d.Journal.Save(replicator.Output{State: &s.State, Entries: s.Entries}); err != nil {
 		d.failed = err
 		return
 	}
--- a/internal/driver/status.go
+++ b/internal/driver/status.go
@@ -22,6 +22,9 @@
 	Probing  bool                `json:"probing"`
 	Waiting  int                 `json:"waiting"`
 	LeaderID replicator.NodeID   `json:"leader_id"`
+	// Settled is set on a leader that has committed an entry of its term, so
+	// that Commit covers all that earlier leaders acknowledged.
+	Settled bool `json:"settled"`
 }
 
 type statusBox struct {
@@ -42,7 +45,7 @@
 		Name: d.Name, ID: n.ID, Role: n.Role().String(), Term: n.Term(),
 		Leader: VMOf(n.Leader()), LeaderID: n.Leader(), Voters: n.Voters(),
 		First: n.FirstIndex(), Last: n.LastIndex(), Commit: n.Commit(),
-		Applied: d.applied, Probing: d.probing != nil, Waiting: len(d.waiting),
+		Applied: d.applied, Probing: d.probing != nil, Waiting: len(d.waiting), Settled: n.Settled(),
 	}
 	d.status.mu.Lock()
 	defer d.status.mu.Unlock()
--- /dev/null
+++ b/internal/encoder/server.go
@@ -0,0 +1,50 @@
+package encoder
+
+import (
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+)
+
+// EncodeServer returns a backend server's state as it goes over a link. Points
+// in time become spans from now on, since clocks differ between VMs.
+func EncodeServer(now time.Time, s *tracker.Server) *peerv1.ServerState {
+	out := &peerv1.ServerState{
+		Id: string(s.ID), Service: string(s.Service), Address: s.Address, FailureDomain: string(s.Domain),
+		FabricDomain: string(s.Fabric), SoftwareVersion: s.Software, Slots: uint32(s.Slots), Draining: s.Draining,
+		BornMs: s.Born, Sequence: s.Sequence, Staged: s.Staged, Models: s.Models, Gone: s.Gone, Silent: s.Silent,
+		HeardAgoMs: uint64(max(now.Sub(s.HeardAt), 0).Milliseconds()),
+		ColdMs:     uint64(max(s.ColdUntil.Sub(now), 0).Milliseconds()),
+	}
+	if m := s.Membership; m != (tracker.Membership{}) {
+		out.Membership = &peerv1.Membership{
+			Group: string(m.Group), Epoch: m.Epoch, Rank: uint32(m.Rank), State: string(m.State),
+		}
+	}
+	return out
+}
+
+// DecodeServer is the inverse of EncodeServer at the time of arrival.
+func DecodeServer(now time.Time, in *peerv1.ServerState) tracker.Server {
+	s := tracker.Server{
+		ID: identifier.Server(in.GetId()), Service: identifier.Service(in.GetService()), Address: in.GetAddress(),
+		Domain: identifier.FailureDomain(in.GetFailureDomain()), Fabric: identifier.FabricDomain(in.GetFabricDomain()),
+		Software: in.GetSoftwareVersion(), Slots: int(in.GetSlots()), Draining: in.GetDraining(), Born: in.GetBornMs(),
+		Sequence: in.GetSequence(), Staged: in.GetStaged(), Models: in.GetModels(), Gone: in.GetGone(), Silent: in.GetSilent(),
+		HeardAt: now.Add(-milliseconds(in.GetHeardAgoMs())),
+	}
+	if in.GetColdMs() > 0 {
+		s.ColdUntil = now.Add(milliseconds(in.GetColdMs()))
+	}
+	if m := in.GetMembership(); m != nil {
+		s.Membership = tracker.Membership{
+			Group: identifier.Group(m.GetGroup()), Epoch: m.GetEpoch(), Rank: int(m.GetRank()),
+			State: tracker.GroupState(m.GetState()),
+		}
+	}
+	return s
+}
+
+func milliseconds(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/forwarder/exchange.go
@@ -0,0 +1,368 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/chooser"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/pooler"
+)
+
+// fate is what is known of a request after it was sent to one server.
+type fate int
+
+const (
+	// fateUnsent requests have not left this process.
+	fateUnsent fate = iota
+	// fateRejected requests have not run, by the server's own word.
+	fateRejected
+	// fateUnknown requests may have run.
+	fateUnknown
+	// fateAnswered requests have an answer.
+	fateAnswered
+)
+
+// exchange is one request at one server.
+type exchange struct {
+	q      *request
+	server identifier.Server
+	conn   *pooler.Conn
+	resp   *http.Response
+	stamp  Stamp
+	stop   func() bool
+	// The fields below are guarded by the Forwarder's mu.
+	sent     time.Time
+	moved    time.Time
+	expected time.Duration
+	begun    bool
+	// leftBehind is set when the request is to go on at another server.
+	leftBehind bool
+	over       bool
+}
+
+const (
+	// maxStray is the number of answers to other requests that are read past.
+	maxStray = 3
+	// writeBound is how long a server may take to accept a request's bytes.
+	writeBound = 2 * time.Second
+)
+
+// send passes the request to a server and reads the head of the answer.
+func (q *request) send(c chooser.Choice, lastEventID string) (*exchange, fate) {
+	f := q.f
+	s := c.Server
+	limit := 0
+	if svc := q.catalog.Service(q.service); svc != nil && svc.MaxConnections > 0 {
+		f.mu.Lock()
+		limit = max(svc.MaxConnections/f.fronts, 1)
+		f.mu.Unlock()
+	}
+	dial, cancel := context.WithTimeout(q.ctx, dialBound)
+	conn, err := f.Pool.Get(dial, s.Address, limit, !q.route.Repeatable())
+	cancel()
+	if err != nil {
+		q.noteUnsent(s.ID, err)
+		return nil, fateUnsent
+	}
+	x := &exchange{q: q, server: s.ID, conn: conn, sent: time.Now(), moved: time.Now(), expected: c.Expected}
+	// The connection is cut when the caller leaves or the time is over.
+	x.stop = context.AfterFunc(q.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	f.mu.Lock()
+	f.chooser.Sent(x.sent, s.ID, q.ask.PromptTokens)
+	f.active[x] = struct{}{}
+	f.mu.Unlock()
+	q.tried = append(q.tried, s.ID)
+	if err := x.write(lastEventID); err != nil {
+		return x.broken(err)
+	}
+	return x.readHead()
+}
+
+func (q *request) noteUnsent(id identifier.Server, err error) {
+	q.lastFault = err.Error()
+	q.unreached++
+	// It is not counted as tried, but it is not asked again.
+	q.tried = append(q.tried, id)
+	if q.ctx.Err() != nil || errors.Is(err, pooler.ErrTooMany) {
+		return
+	}
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	q.f.chooser.Unreachable(time.Now(), id)
+}
+
+// write sends the request's bytes.
+func (x *exchange) write(lastEventID string) error {
+	q := x.q
+	h := q.r.Header.Clone()
+	stripConnection(h)
+	q.f.Dialect.WriteHandoff(h, Handoff{
+		Server: x.server, Team: q.teamName(), Left: q.left(), LastEventID: lastEventID,
+		Priority: q.priority(), Engine: q.engine != nil,
+	})
+	var b bytes.Buffer
+	b.Grow(len(q.body) + 1024)
+	b.WriteString(q.r.Method + " " + q.r.RequestURI + " HTTP/1.1\r\nHost: " + q.r.Host + "\r\n")
+	if len(q.body) > 0 || q.r.Method != http.MethodGet && q.r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n")
+	}
+	if err := h.Write(&b); err != nil {
+		return err
+	}
+	b.WriteString("\r\n")
+	b.Write(q.body)
+	if err := x.conn.SetWriteDeadline(time.Now().Add(writeBound)); err != nil {
+		return err
+	}
+	_, err := x.conn.Write(b.Bytes())
+	return err
+}
+
+// readHead reads the head of the answer to this request, past answers to other
+// ones.
+func (x *exchange) readHead() (*exchange, fate) {
+	q := x.q
+	for stray := 0; ; {
+		resp, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: q.r.Method})
+		if err != nil {
+			return x.broken(err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		x.resp, x.stamp = resp, q.f.Dialect.ReadStamp(resp.Header)
+		if x.stamp.RequestID == q.ask.ID || x.stamp.RequestID == "" && x.stamp.NotRun {
+			break
+		}
+		// An extra answer to an earlier request, or bytes that are no answer.
+		if stray++; stray > maxStray || x.stamp.RequestID == "" {
+			return x.broken(errors.New("the answer names no request or another one"))
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return x.broken(err)
+		}
+	}
+	return x.judge()
+}
+
+// judge says what the head of an answer means.
+func (x *exchange) judge() (*exchange, fate) {
+	q := x.q
+	status := x.resp.StatusCode
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
+	switch {
+	case x.stamp.NotRun || status == http.StatusMisdirectedRequest:
+		q.rejections++
+		q.lastFault = "server rejected with " + strconv.Itoa(status)
+		x.note(func(c *chooser.Chooser, now time.Time) { c.Failed(now, x.server) })
+		_, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxBufferedAnswer))
+		x.finish(err == nil, false)
+		return nil, fateRejected
+	case x.resp.Header.Get("Content-Encoding") != "":
+		return x.broken(errors.New("the answer has a content encoding that nobody asked for"))
+	case !x.stamp.Signed:
+		return x.broken(errors.New("the answer is not signed, status " + strconv.Itoa(status)))
+	case success:
+		q.runs++
+		return x, fateAnswered
+	}
+	q.runs++
+	x.note(func(c *chooser.Chooser, now time.Time) { c.Failed(now, x.server) })
+	return x, fateAnswered
+}
+
+func (x *exchange) note(do func(c *chooser.Chooser, now time.Time)) {
+	x.q.f.mu.Lock()
+	defer x.q.f.mu.Unlock()
+	do(x.q.f.chooser, time.Now())
+}
+
+// broken ends an exchange without a usable answer.
+func (x *exchange) broken(err error) (*exchange, fate) {
+	q := x.q
+	q.runs++
+	q.lastFault = err.Error()
+	if q.ctx.Err() == nil {
+		x.note(func(c *chooser.Chooser, now time.Time) { c.Failed(now, x.server) })
+	}
+	x.finish(false, false)
+	return nil, fateUnknown
+}
+
+// finish ends the exchange. Whole tells that the answer was read to its end, so
+// that the connection can be used again.
+func (x *exchange) finish(whole, success bool) {
+	f := x.q.f
+	f.mu.Lock()
+	if x.over {
+		f.mu.Unlock()
+		return
+	}
+	x.over = true
+	delete(f.active, x)
+	unread := x.q.ask.PromptTokens
+	if x.begun {
+		unread = 0
+	}
+	f.chooser.Ended(x.server, unread)
+	if whole {
+		f.chooser.Moved(time.Now(), x.server)
+	}
+	if success {
+		f.chooser.Succeeded(x.server)
+	}
+	f.mu.Unlock()
+	// Once stop reports false, the deadline was set and the connection is spent.
+	if whole && x.stop() && x.resp != nil && !x.resp.Close {
+		x.conn.Keep(keepAlive(x.resp.Header))
+		return
+	}
+	x.stop()
+	x.conn.Discard()
+}
+
+// keepAlive returns how long a server keeps an unused connection, 0 when it does
+// not say.
+func keepAlive(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		if value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout="); found {
+			if n, err := strconv.Atoi(value); err == nil {
+				return max(time.Duration(n)*time.Second, 1)
+			}
+		}
+	}
+	return 0
+}
+
+func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
+
+// progress notes an event of the answer.
+func (x *exchange) progress() {
+	now := time.Now()
+	f := x.q.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	x.moved = now
+	if x.begun {
+		f.chooser.Moved(now, x.server)
+		return
+	}
+	x.begun = true
+	f.chooser.Begun(now, x.server, x.q.ask.PromptTokens)
+}
+
+// Bounds on silence.
+const (
+	// serverQuiet is how long a server must have given nothing to any request of
+	// this front before one of them is taken elsewhere.
+	serverQuiet = 400 * time.Millisecond
+	// leastQuiet is the least silence of a request that counts, which is longer
+	// than an engine's pass that reads several prompts.
+	leastQuiet = 500 * time.Millisecond
+	// gapFactor times the declared pause, and objectiveFactor times the declared
+	// time to the first event, is a silence that counts.
+	gapFactor       = 2
+	objectiveFactor = 2
+)
+
+// Sweep takes requests that stand still elsewhere, where that is allowed.
+func (f *Forwarder) Sweep(now time.Time) {
+	f.mu.Lock()
+	var still []*exchange
+	for x := range f.active {
+		if !x.leftBehind && now.Sub(x.moved) > x.patience() && f.chooser.AnsweredAgo(now, x.server) > serverQuiet {
+			still = append(still, x)
+		}
+	}
+	f.mu.Unlock()
+	for _, x := range still {
+		x.leave()
+	}
+}
+
+// patience is how long the exchange may be silent. The caller holds mu.
+func (x *exchange) patience() time.Duration {
+	r := x.q.route
+	if x.begun {
+		return max(leastQuiet, gapFactor*r.GapObjective)
+	}
+	return max(leastQuiet, objectiveFactor*r.Objective, x.expected+r.Objective)
+}
+
+// leave cuts the connection of an exchange so that its request goes on at
+// another server, if there is one.
+func (x *exchange) leave() {
+	if !x.q.route.Repeatable() || !x.q.canMoveFrom(x) {
+		return
+	}
+	f := x.q.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x.over {
+		return
+	}
+	x.leftBehind = true
+	f.chooser.Failed(time.Now(), x.server)
+	f.counts.moved.Add(1)
+	_ = x.conn.SetDeadline(time.Unix(1, 0))
+}
+
+// canMoveFrom is canMove for a request whose exchange still runs. It reads only
+// what does not change meanwhile.
+func (q *request) canMoveFrom(x *exchange) bool {
+	f := q.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := chooser.Ask{
+		Service: q.service, PromptTokens: q.ask.PromptTokens, Urgent: true, Tried: []identifier.Server{x.server},
+	}
+	if q.engine != nil {
+		a.Model = q.ask.Model
+	}
+	c := f.chooser.Choose(time.Now(), a)
+	return c.Server != nil && f.budget(q.service).Allows(time.Now()) && q.route.MaxAttempts > 1
+}
+
+// Doubt is what this front's requests show of one server.
+type Doubt struct {
+	Server      identifier.Server
+	AnsweredAgo time.Duration
+	Unreachable int
+	// Stalled counts requests that have been silent for long.
+	Stalled int
+}
+
+// Doubts returns what this front's requests show of the servers.
+func (f *Forwarder) Doubts(now time.Time) []Doubt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stalled := map[identifier.Server]int{}
+	for x := range f.active {
+		if now.Sub(x.moved) > serverQuiet {
+			stalled[x.server]++
+		}
+	}
+	var out []Doubt
+	for id, e := range f.chooser.Evidence(now) {
+		out = append(out, Doubt{
+			Server: id, AnsweredAgo: min(e.AnsweredAgo, time.Hour), Unreachable: e.Unreachable, Stalled: stalled[id],
+		})
+	}
+	slices.SortFunc(out, func(a, b Doubt) int { return strings.Compare(string(a.Server), string(b.Server)) })
+	return out
+}
+
+// Loads returns this front's own work at the servers.
+func (f *Forwarder) Loads() map[identifier.Server]chooser.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooser.Loads()
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,372 @@
+// Package forwarder takes callers' requests at a front and passes them on to
+// backend servers.
+//
+// It changes nothing of a request but the headers that concern one connection
+// and those that a Dialect names, and nothing of an answer. What it decides:
+// which route a request takes and whether its key allows it, when it is sent to
+// another server, and what is true of a request that got no answer. A request
+// that may run only once is sent a second time only after a server has said that
+// it did not run it. A stream that breaks off goes on at another server after the
+// last event that the caller has.
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/chooser"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/limiter"
+	"trefoilhead.org/trefoilhead/internal/pooler"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// Dialect reads and writes the headers that callers and backend servers use.
+type Dialect interface {
+	// ReadAsk reads what a caller says of its request.
+	ReadAsk(h http.Header) Ask
+	// WriteHandoff puts into a request's headers what a backend server needs, and
+	// takes out what it must not see.
+	WriteHandoff(h http.Header, o Handoff)
+	// ReadStamp reads what a backend server says of its answer.
+	ReadStamp(h http.Header) Stamp
+}
+
+// Ask is what a caller says of its request.
+type Ask struct {
+	ID  string
+	Key string
+	// Model is empty for a request that needs none.
+	Model        string
+	PromptTokens int
+	// AnswerTokens is the estimated length of the answer.
+	AnswerTokens int
+	// Deadline is how long the caller waits; 0 when it does not say.
+	Deadline time.Duration
+}
+
+// Handoff is what a backend server is told beside the request itself.
+type Handoff struct {
+	Server identifier.Server
+	Team   identifier.Team
+	// Left is the time that is left for the answer.
+	Left time.Duration
+	// LastEventID is the last event that the caller has; empty to leave the
+	// caller's own statement.
+	LastEventID string
+	// Priority is 0 for the most urgent requests; it is sent to engines only.
+	Priority int
+	Engine   bool
+}
+
+// Stamp is what a backend server says of its answer.
+type Stamp struct {
+	// RequestID is the request that the answer belongs to.
+	RequestID string
+	// Signed is set on an answer that the server vouches for.
+	Signed bool
+	// NotRun is set when the server states that it did not run the request.
+	NotRun bool
+}
+
+// Bounds that depend on no deployment.
+const (
+	// keyMargin is taken off the time for which keys may be honoured without
+	// news, for the way of a request through this process.
+	keyMargin = 500 * time.Millisecond
+	// maxBufferedAnswer is the size up to which an answer is read whole before
+	// any of it is passed on, so that a broken one can be replaced.
+	maxBufferedAnswer = 1 << 20
+	// dialBound is how long opening a connection to a backend server may take:
+	// several round trips within a region.
+	dialBound = 300 * time.Millisecond
+	// maxRejections bounds the servers that may say of one request that they did
+	// not run it.
+	maxRejections = 2
+	// maxUnreached bounds the servers that are tried in vain for one request.
+	maxUnreached = 3
+	// budgetShare is the part of the declared budgets that is used, since counts
+	// lag.
+	budgetShare = 0.8
+	// unknownRetryAfter is when to come back to a front that knows nothing yet.
+	unknownRetryAfter = 500 * time.Millisecond
+	// defaultTimeout bounds a request whose route and caller state nothing.
+	defaultTimeout = 30 * time.Second
+)
+
+// Forwarder serves callers at one front. Exported fields are set before use.
+type Forwarder struct {
+	Dialect Dialect
+	Pool    *pooler.Pool
+	Logger  log.Logger
+	// Elapsed is a clock that goes on during suspensions.
+	Elapsed func() time.Duration
+	// Revocation is the time after which a key that was taken away must not be
+	// served; 0 means no bound.
+	Revocation time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats of all fronts.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+
+	catalog atomic.Pointer[cataloger.Catalog]
+	// fresh is the Elapsed time as of which the catalog was that of the quorum,
+	// 0 for never.
+	fresh atomic.Int64
+	// stopping is set once the process has been told to stop.
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	chooser *chooser.Chooser
+	budgets map[identifier.Service]*limiter.Window
+	fronts  int
+	active  map[*exchange]struct{}
+	demands map[demandKey]*Demand
+
+	counts counts
+}
+
+type demandKey struct {
+	service identifier.Service
+	model   string
+}
+
+// Demand is the work that callers asked for.
+type Demand struct {
+	Service  identifier.Service
+	Model    string
+	Requests int
+	Refused  int
+	Engine   time.Duration
+}
+
+// Init prepares the Forwarder with the state that it chooses by.
+func (f *Forwarder) Init(c *chooser.Chooser) {
+	f.chooser = c
+	f.budgets = map[identifier.Service]*limiter.Window{}
+	f.active = map[*exchange]struct{}{}
+	f.demands = map[demandKey]*Demand{}
+	f.fronts = 1
+}
+
+// SetCatalog puts a catalog into force. An older one than that in force changes
+// nothing.
+func (f *Forwarder) SetCatalog(c *cataloger.Catalog) {
+	if old := f.catalog.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooser.SetCatalog(c)
+	f.catalog.Store(c)
+	_ = level.Info(f.Logger).Log("msg", "catalog in force", "version", c.Version, "routes", len(c.Routes), "teams", len(c.Teams))
+}
+
+// SetFresh notes the Elapsed time as of which this front's state was that of the
+// quorum.
+func (f *Forwarder) SetFresh(at time.Duration) {
+	if int64(at) > f.fresh.Load() {
+		f.fresh.Store(int64(at))
+	}
+}
+
+// FreshAgo returns how old the state is, and false when it was never confirmed.
+func (f *Forwarder) FreshAgo() (time.Duration, bool) {
+	at := f.fresh.Load()
+	return f.Elapsed() - time.Duration(at), at != 0
+}
+
+// SetServers replaces the servers to choose from.
+func (f *Forwarder) SetServers(all []*tracker.Server, evacuated map[identifier.FailureDomain]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooser.SetServers(all, evacuated)
+}
+
+// SetOthers notes what the other fronts have at the servers, and how many fronts
+// share the budgets.
+func (f *Forwarder) SetOthers(loads map[identifier.Server]chooser.Load, fronts int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooser.SetOthers(loads)
+	f.fronts = max(fronts, 1)
+	f.chooser.Fronts = f.fronts
+}
+
+// Stop makes every later answer end its connection.
+func (f *Forwarder) Stop() { f.stopping.Store(true) }
+
+// Knows reports whether this front can serve requests: it has a catalog, and
+// knows that keys are still valid.
+func (f *Forwarder) Knows() bool { return f.catalog.Load() != nil && f.keysHold() }
+
+func (f *Forwarder) keysHold() bool {
+	ago, ever := f.FreshAgo()
+	return ever && (f.Revocation <= 0 || ago < f.Revocation-keyMargin)
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{f: f, w: w, r: r, began: time.Now(), ask: f.Dialect.ReadAsk(r.Header)}
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if !q.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	q.ctx = ctx
+	f.noteDemand(q, false)
+	if q.route.Kind == cataloger.Stream {
+		q.serveStream()
+	} else {
+		q.servePlain()
+	}
+}
+
+// admit checks the request against the catalog and reads its body. It answers
+// the request itself when it may not go on.
+func (q *request) admit() bool {
+	f := q.f
+	c := f.catalog.Load()
+	if c == nil {
+		q.refuse(http.StatusServiceUnavailable, "no_catalog", unknownRetryAfter)
+		return false
+	}
+	q.catalog = c
+	q.route = c.Route(hostOnly(q.r.Host), q.r.URL.Path)
+	if q.route == nil {
+		q.refuse(http.StatusNotFound, "no_route", 0)
+		return false
+	}
+	if c.HasTeams() && !q.route.Public && !q.checkKey() {
+		return false
+	}
+	if c.Limits.HeaderBytes > 0 && headerBytes(q.r) > c.Limits.HeaderBytes {
+		q.refuse(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", 0)
+		return false
+	}
+	q.setDeadline()
+	return q.readBody()
+}
+
+// checkKey finds the team of the request's key.
+func (q *request) checkKey() bool {
+	if !q.f.keysHold() {
+		// The key may have been taken away meanwhile.
+		q.refuse(http.StatusServiceUnavailable, "keys_not_confirmed", unknownRetryAfter)
+		return false
+	}
+	team := q.catalog.Team(q.ask.Key)
+	if team == nil {
+		q.refuse(http.StatusUnauthorized, "unknown_key", 0)
+		return false
+	}
+	q.team = team
+	return true
+}
+
+func (q *request) setDeadline() {
+	left := q.route.Timeout
+	if q.ask.Deadline > 0 {
+		left = min(left, q.ask.Deadline)
+	}
+	if left <= 0 {
+		left = defaultTimeout
+	}
+	q.deadline = q.began.Add(left)
+}
+
+func (f *Forwarder) noteDemand(q *request, refused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q.service = f.pickService(q.route)
+	k := demandKey{q.service, q.ask.Model}
+	d := f.demands[k]
+	if d == nil {
+		d = &Demand{Service: k.service, Model: k.model}
+		f.demands[k] = d
+	}
+	if refused {
+		d.Refused++
+		return
+	}
+	d.Requests++
+	if svc := q.catalog.Service(q.service); svc != nil && svc.Engine != nil {
+		q.engine = svc.Engine
+		d.Engine += svc.Engine.Cost(q.ask.Model, q.ask.PromptTokens, q.ask.AnswerTokens)
+	}
+	f.budget(q.service).Request(q.began)
+}
+
+// pickService draws one of the route's targets by weight. The caller holds mu.
+func (f *Forwarder) pickService(r *cataloger.Route) identifier.Service {
+	sum := 0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	n := f.chooser.Rand.IntN(max(sum, 1))
+	for _, t := range r.Targets {
+		if n < t.Weight {
+			return t.Service
+		}
+		n -= t.Weight
+	}
+	return r.Targets[0].Service
+}
+
+// budget returns the repeats that this front may spend on a service. The caller
+// holds mu.
+func (f *Forwarder) budget(s identifier.Service) *limiter.Window {
+	b := f.budgets[s]
+	if b == nil {
+		b = &limiter.Window{}
+		f.budgets[s] = b
+	}
+	b.Span = f.RetryWindow
+	b.Ratio = f.RetryRatio * budgetShare
+	b.Slack = f.RetrySlack * budgetShare / float64(f.fronts)
+	return b
+}
+
+// TakeDemands returns the work asked for since the last call.
+func (f *Forwarder) TakeDemands() []Demand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Demand
+	for _, d := range f.demands {
+		out = append(out, *d)
+	}
+	clear(f.demands)
+	return out
+}
+
+// refuse answers a request that has not run and will not run.
+func (q *request) refuse(status int, reason string, retryAfter time.Duration) {
+	h := q.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	q.w.WriteHeader(status)
+	// A caller that is gone needs no answer.
+	_, _ = q.w.Write([]byte(reason + "\n"))
+	q.end(status, reason)
+}
+
+// Limits returns the limits on callers' connections.
+func (f *Forwarder) Limits() cataloger.Limits {
+	if c := f.catalog.Load(); c != nil {
+		return c.Limits
+	}
+	return cataloger.Limits{}
+}
--- /dev/null
+++ b/internal/fronter/follow.go
@@ -0,0 +1,191 @@
+package fronter
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/chooser"
+	"trefoilhead.org/trefoilhead/internal/encoder"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
+)
+
+// Paces of following.
+const (
+	// pullWait is how long a core process may hold an answer, and thereby the
+	// pace of this front's reports.
+	pullWait = 250 * time.Millisecond
+	// pullBound is how much longer an answer may take.
+	pullBound = 600 * time.Millisecond
+	// pullRetry is the pause after a pull that failed.
+	pullRetry = 30 * time.Millisecond
+	// avoidFor is how long a core process that failed is not asked.
+	avoidFor = 3 * time.Second
+	// staleCore is the age of a core process's own state from which another one
+	// is asked.
+	staleCore = 1500 * time.Millisecond
+)
+
+// followLoop pulls from the core processes until ctx ends.
+func (f *Front) followLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		core := f.pickCore(time.Now())
+		if core == "" {
+			pause(ctx, pullRetry)
+			continue
+		}
+		if !f.pull(ctx, core) {
+			f.follow.avoid[core] = time.Now().Add(avoidFor)
+			pause(ctx, pullRetry)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// pickCore returns the core process to ask: the present one while it serves, one
+// of the own failure domain, or any.
+func (f *Front) pickCore(now time.Time) identifier.VM {
+	w := &f.follow
+	for vm, until := range w.avoid {
+		if now.After(until) {
+			delete(w.avoid, vm)
+		}
+	}
+	var near, far []identifier.VM
+	for _, c := range w.cores {
+		vm := identifier.VM(c.GetAddress())
+		if !w.avoid[vm].IsZero() {
+			continue
+		}
+		if c.GetFailureDomain() == string(f.Settings.FailureDomain) {
+			near = append(near, vm)
+		} else {
+			far = append(far, vm)
+		}
+	}
+	f.mu.Lock()
+	for _, s := range f.seeds {
+		if w.avoid[s].IsZero() && !slices.Contains(near, s) && !slices.Contains(far, s) {
+			far = append(far, s)
+		}
+	}
+	f.mu.Unlock()
+	for _, list := range [][]identifier.VM{near, far} {
+		if slices.Contains(list, w.core) {
+			return w.core
+		}
+		if len(list) > 0 {
+			return list[f.random.IntN(len(list))]
+		}
+	}
+	// All have failed lately; the first one to come back is found by asking.
+	clear(w.avoid)
+	return ""
+}
+
+// pull asks a core process once, and reports whether it is worth asking again.
+func (f *Front) pull(ctx context.Context, core identifier.VM) bool {
+	w := &f.follow
+	asked, now := f.Elapsed(), time.Now()
+	p := &peerv1.FrontPull{
+		FailureDomain: string(f.Settings.FailureDomain), Registry: w.registry, Revision: w.revision,
+		CatalogVersion: uint64(w.catalog), WaitMs: uint32(pullWait.Milliseconds()),
+	}
+	for id, l := range f.forwarder.Loads() {
+		p.Loads = append(p.Loads, &peerv1.ServerLoad{
+			Id: string(id), Running: uint32(max(l.Running, 0)), UnreadTokens: uint64(max(l.Unread, 0)),
+		})
+	}
+	own := f.forwarder.Loads()
+	for _, d := range f.forwarder.Doubts(now) {
+		p.Doubts = append(p.Doubts, &peerv1.ServerDoubt{
+			Id: string(d.Server), AnsweredAgoMs: uint64(d.AnsweredAgo.Milliseconds()),
+			Unreachable: uint32(d.Unreachable), Stalled: uint32(d.Stalled),
+		})
+	}
+	for _, d := range f.forwarder.TakeDemands() {
+		p.Demands = append(p.Demands, &peerv1.ModelDemand{
+			Service: string(d.Service), Model: d.Model, Requests: uint32(d.Requests), Refused: uint32(d.Refused),
+			EngineMs: uint64(d.Engine.Milliseconds()),
+		})
+	}
+	bounded, cancel := context.WithTimeout(ctx, pullWait+pullBound)
+	defer cancel()
+	answer, err := f.linker.Call(bounded, core, &peerv1.Envelope{FrontPull: p})
+	u := answer.GetFrontUpdate()
+	if err != nil || u == nil {
+		if ctx.Err() == nil {
+			_ = level.Info(f.Logger).Log("msg", "core process does not answer", "core", core, "err", err)
+		}
+		return false
+	}
+	if w.core != core {
+		_ = level.Info(f.Logger).Log("msg", "core process is followed", "core", core, "was", w.core,
+			"catalog", u.GetCatalogVersion(), "confirmed_ago_ms", u.GetConfirmedAgoMs())
+		w.core = core
+	}
+	f.take(asked, own, u)
+	return !u.GetUnconfirmed() && time.Duration(u.GetConfirmedAgoMs())*time.Millisecond < staleCore
+}
+
+// take brings this front up to date.
+func (f *Front) take(asked time.Duration, own map[identifier.Server]chooser.Load, u *peerv1.FrontUpdate) {
+	w := &f.follow
+	now := time.Now()
+	w.cores = u.GetCores()
+	if len(u.GetCatalog()) > 0 && u.GetCatalogVersion() > uint64(w.catalog) {
+		cat, err := f.Decode(u.GetCatalog())
+		if err != nil {
+			_ = level.Error(f.Logger).Log("msg", "catalog cannot be read", "version", u.GetCatalogVersion(), "err", err)
+		} else {
+			w.catalog = cataloger.Version(u.GetCatalogVersion())
+			f.forwarder.SetCatalog(cat)
+		}
+	}
+	if !u.GetUnconfirmed() && u.GetCatalogVersion() <= uint64(w.catalog) {
+		f.forwarder.SetFresh(asked - time.Duration(u.GetConfirmedAgoMs())*time.Millisecond)
+	}
+	f.takeServers(now, u)
+	loads := map[identifier.Server]chooser.Load{}
+	for _, l := range u.GetLoads() {
+		id := identifier.Server(l.GetId())
+		loads[id] = chooser.Load{
+			Running: max(int(l.GetRunning())-own[id].Running, 0),
+			Unread:  max(int(l.GetUnreadTokens())-own[id].Unread, 0),
+		}
+	}
+	f.forwarder.SetOthers(loads, int(u.GetFronts()))
+	if w.catalog > 0 {
+		f.served.Store(true)
+	}
+}
+
+// takeServers follows the core process's registry.
+func (f *Front) takeServers(now time.Time, u *peerv1.FrontUpdate) {
+	w := &f.follow
+	evacuated := map[identifier.FailureDomain]bool{}
+	for _, d := range u.GetEvacuated() {
+		evacuated[identifier.FailureDomain(d)] = true
+	}
+	if u.GetFull() {
+		w.servers.Clear()
+	}
+	for _, s := range u.GetServers() {
+		w.servers.Replace(encoder.DecodeServer(now, s))
+	}
+	changed := u.GetFull() || len(u.GetServers()) > 0 || u.GetRevision() != w.revision
+	w.registry, w.revision, w.evacuated = u.GetRegistry(), u.GetRevision(), evacuated
+	if changed {
+		f.forwarder.SetServers(w.servers.All(), evacuated)
+	}
+}
--- /dev/null
+++ b/internal/grouper/form.go
@@ -0,0 +1,327 @@
+package grouper
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// fabric is one fabric domain's share of one service.
+type fabric struct {
+	domain  identifier.FabricDomain
+	service identifier.Service
+	engine  *cataloger.Engine
+	// servers are all that live, free those that a new group may take.
+	servers []*tracker.Server
+	free    []*tracker.Server
+	groups  []*group
+}
+
+// fabrics sorts the servers that live into their fabric domains.
+func (g *Grouper) fabrics() []*fabric {
+	type key struct {
+		domain  identifier.FabricDomain
+		service identifier.Service
+	}
+	taken := map[identifier.Server]bool{}
+	byKey := map[key]*fabric{}
+	var all []*fabric
+	at := func(k key) *fabric {
+		f := byKey[k]
+		if f == nil {
+			f = &fabric{domain: k.domain, service: k.service, engine: g.engine(k.service)}
+			byKey[k] = f
+			all = append(all, f)
+		}
+		return f
+	}
+	for _, gr := range g.sorted() {
+		for _, id := range gr.info.Members {
+			taken[id] = true
+		}
+		f := at(key{gr.info.Fabric, gr.service})
+		f.groups = append(f.groups, gr)
+	}
+	for _, s := range g.view.Registry.All() {
+		if g.engine(s.Service) == nil || !g.lives(s) {
+			continue
+		}
+		f := at(key{s.Fabric, s.Service})
+		f.servers = append(f.servers, s)
+		if !taken[s.ID] && g.isFree(s) {
+			f.free = append(f.free, s)
+		}
+	}
+	all = slices.DeleteFunc(all, func(f *fabric) bool { return f.engine == nil })
+	slices.SortFunc(all, func(a, b *fabric) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.domain, b.domain))
+	})
+	return all
+}
+
+func (g *Grouper) lives(s *tracker.Server) bool {
+	return s.Usable() && !s.Silent && !g.view.Evacuated[s.Domain] && !g.now.Before(g.vms[s.ID].deadUntil)
+}
+
+// isFree reports whether a server that is planned for no group may join one.
+func (g *Grouper) isFree(s *tracker.Server) bool {
+	m := g.vms[s.ID]
+	if m.pending != nil || g.now.Before(m.held) {
+		return false
+	}
+	ms := s.Membership
+	return ms.Rank != 0 || ms.State != tracker.Open && ms.State != tracker.Closing
+}
+
+// form starts the groups that a fabric domain has room for.
+func (g *Grouper) form(f *fabric) {
+	for {
+		m, members, loads := g.best(f)
+		if members == nil {
+			return
+		}
+		if loads > 0 && !g.loads.allow(g.now, g.loading(), loads, f.engine) {
+			return
+		}
+		g.formGroup(f, m, members, loads)
+	}
+}
+
+// best chooses the model that is shortest of groups among those that the free
+// servers can form, and the servers for it.
+func (g *Grouper) best(f *fabric) (cataloger.Model, []*tracker.Server, int) {
+	var model cataloger.Model
+	var members []*tracker.Server
+	loads, need := 0, math.Inf(-1)
+	for _, m := range f.engine.Models {
+		ms, l := g.pick(f, m)
+		if ms == nil || l > 0 && !g.mayLoadFor(f, m, ms) {
+			continue
+		}
+		n := g.need(f.service, f.engine, m)
+		if l > 0 {
+			// Weights that are at hand serve at once.
+			n -= loadPenalty
+		}
+		if n > need {
+			model, members, loads, need = m, ms, l, n
+		}
+	}
+	return model, members, loads
+}
+
+// loadPenalty outweighs any difference in need: forming without a load takes a
+// tenth of the time.
+const loadPenalty = 1000
+
+// pick returns the free servers that would form a group soonest, and how many of
+// them have to load the weights. It returns nil when there are too few.
+func (g *Grouper) pick(f *fabric, m cataloger.Model) ([]*tracker.Server, int) {
+	if m.Size < 1 || len(f.free) < m.Size {
+		return nil, 0
+	}
+	free := slices.Clone(f.free)
+	slices.SortStableFunc(free, func(a, b *tracker.Server) int {
+		return cmp.Or(cmp.Compare(g.effort(a, m.Name), g.effort(b, m.Name)), cmp.Compare(a.ID, b.ID))
+	})
+	free = free[:m.Size]
+	loads := 0
+	for _, s := range free {
+		if g.effort(s, m.Name) >= effortLoad {
+			loads++
+		}
+	}
+	return free, loads
+}
+
+// Efforts of joining a group of a model.
+const (
+	effortLast = iota
+	effortStaged
+	effortStaging
+	effortLoad
+	effortReplace
+)
+
+// effort orders servers by how soon they would be ready.
+func (g *Grouper) effort(s *tracker.Server, model string) int {
+	staging := g.vms[s.ID].staging
+	switch {
+	case staging == model:
+		return effortStaging
+	case staging != "":
+		return effortReplace
+	case slices.Contains(s.Models, model) && s.IsStaged(model):
+		return effortLast
+	case s.IsStaged(model):
+		return effortStaged
+	case len(s.Staged) == 0:
+		return effortLoad
+	}
+	return effortReplace
+}
+
+// mayLoadFor reports whether a group that needs loads may be formed from these
+// servers: enough of the fabric domain stays spare, and servers that have
+// other weights or are loading them are left alone.
+func (g *Grouper) mayLoadFor(f *fabric, m cataloger.Model, members []*tracker.Server) bool {
+	for _, s := range members {
+		if g.effort(s, m.Name) == effortReplace {
+			return false
+		}
+	}
+	spare := int(g.Policy.SpareShare * float64(len(f.servers)))
+	return len(f.free)-m.Size >= spare
+}
+
+// need is the engine time that is asked for per group of a model.
+func (g *Grouper) need(service identifier.Service, e *cataloger.Engine, m cataloger.Model) float64 {
+	groups := 0
+	for _, gr := range g.groups {
+		if gr.service == service && gr.info.Model == m.Name && gr.info.Phase != Ending && gr.info.Phase != Leaving {
+			groups++
+		}
+	}
+	return g.demand(e, m) / float64(groups+1)
+}
+
+// demand is the engine time asked for by model, or its declared share while
+// nothing was measured.
+func (g *Grouper) demand(e *cataloger.Engine, m cataloger.Model) float64 {
+	measured := 0.0
+	for _, o := range e.Models {
+		measured += g.view.Demand[o.Name]
+	}
+	if measured < 1 {
+		return m.Share
+	}
+	return max(g.view.Demand[m.Name], m.Share/10)
+}
+
+func (g *Grouper) formGroup(f *fabric, m cataloger.Model, members []*tracker.Server, loads int) {
+	g.formed++
+	epoch := g.fence<<epochBits | g.formed
+	gr := &group{
+		info: Info{
+			ID: identifier.Group(fmt.Sprintf("g%d", epoch)), Epoch: epoch, Model: m.Name, Fabric: f.domain,
+			Phase: Forming, Reason: fmt.Sprintf("%d of %d members load", loads, m.Size),
+		},
+		service: f.service, model: m, since: g.now,
+	}
+	for _, s := range members {
+		gr.info.Members = append(gr.info.Members, s.ID)
+		gr.born = append(gr.born, s.Born)
+		if loads > 0 && g.effort(s, m.Name) >= effortLoad {
+			g.startLoad(s, m)
+		}
+	}
+	gr.deadline = g.now.Add(m.Warm + formSlack)
+	if g.anyStaging(members) {
+		gr.deadline = g.now.Add(g.loadTime(f.engine, m) + m.Warm + formSlack)
+	}
+	f.free = slices.DeleteFunc(f.free, func(s *tracker.Server) bool { return slices.Contains(gr.info.Members, s.ID) })
+	f.groups = append(f.groups, gr)
+	g.groups[gr.info.ID] = gr
+	g.note("group is to be formed", gr)
+	g.stepForming(gr)
+}
+
+func (g *Grouper) anyStaging(members []*tracker.Server) bool {
+	return slices.ContainsFunc(members, func(s *tracker.Server) bool { return g.vms[s.ID].staging != "" })
+}
+
+// startLoad notes that a server loads weights from now on.
+func (g *Grouper) startLoad(s *tracker.Server, m cataloger.Model) {
+	vm := g.vms[s.ID]
+	vm.staging = m.Name
+	vm.stagingUntil = g.now.Add(g.loadTime(g.engine(s.Service), m) + formSlack)
+	g.loads.note(g.now)
+}
+
+// loadTime is the longest time that a load should take while as many run as do.
+func (g *Grouper) loadTime(e *cataloger.Engine, m cataloger.Model) time.Duration {
+	crowd := float64(g.loading()+1) / float64(max(e.LoadsAtOnce, 1))
+	return time.Duration(float64(m.Load) * max(crowd, 1))
+}
+
+// loading counts the loads that run.
+func (g *Grouper) loading() int {
+	n := 0
+	for _, m := range g.vms {
+		if m.staging != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// stageSpares loads weights onto free servers that have none, so that they can
+// replace a lost member at once or complete a group.
+func (g *Grouper) stageSpares(f *fabric) {
+	for _, s := range f.free {
+		if len(s.Staged) > 0 || g.vms[s.ID].staging != "" {
+			continue
+		}
+		m, ok := g.spareModel(f)
+		if !ok || !g.loads.allow(g.now, g.loading(), 1, f.engine) {
+			return
+		}
+		if g.send(s, Order{Action: Stage, Model: m.Name, Reason: "spare without weights"}) {
+			g.startLoad(s, m)
+		}
+	}
+}
+
+// spareModel chooses the weights for the next spare of a fabric domain: those of
+// the started set that lacks least, or of the groups that have fewest spares.
+func (g *Grouper) spareModel(f *fabric) (cataloger.Model, bool) {
+	var chosen cataloger.Model
+	found, score := false, math.Inf(-1)
+	for _, m := range f.engine.Models {
+		groups, spares := 0, 0
+		for _, gr := range f.groups {
+			if gr.info.Model == m.Name {
+				groups++
+			}
+		}
+		for _, s := range f.free {
+			if s.IsStaged(m.Name) || g.vms[s.ID].staging == m.Name {
+				spares++
+			}
+		}
+		missing := m.Size - spares%m.Size
+		s := g.need(f.service, f.engine, m)
+		if groups > spares {
+			s += loadPenalty
+		}
+		if spares > 0 && missing < m.Size {
+			s += 1 / float64(missing)
+		}
+		if s > score {
+			chosen, found, score = m, true, s
+		}
+	}
+	return chosen, found
+}
+
+// loadLimit bounds the loads that start.
+type loadLimit struct {
+	starts []time.Time
+}
+
+func (l *loadLimit) note(now time.Time) { l.starts = append(l.starts, now) }
+
+// allow reports whether n more loads may start while running ones are under way.
+func (l *loadLimit) allow(now time.Time, running, n int, e *cataloger.Engine) bool {
+	l.starts = slices.DeleteFunc(l.starts, func(t time.Time) bool { return now.Sub(t) >= loadWindow })
+	if e.LoadsAtOnce > 0 && running >= e.LoadsAtOnce {
+		return false
+	}
+	return e.LoadsPerSecond <= 0 || float64(len(l.starts)+n) <= e.LoadsPerSecond*loadWindow.Seconds()
+}
--- /dev/null
+++ b/internal/grouper/grouper.go
@@ -0,0 +1,295 @@
+package grouper
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// epochBits is the part of an epoch that counts the groups of one term.
+const epochBits = 20
+
+// Grouper is the placement of one holder of authority. Policy is set before
+// Begin.
+type Grouper struct {
+	Policy Policy
+
+	fence   uint64
+	formed  uint64
+	learned time.Time
+	groups  map[identifier.Group]*group
+	// ended holds the groups that are over but may still be announced.
+	ended map[identifier.Group]bool
+	vms   map[identifier.Server]*vm
+	loads loadLimit
+
+	view  View
+	now   time.Time
+	out   []Order
+	notes []Note
+}
+
+type group struct {
+	info    Info
+	service identifier.Service
+	model   cataloger.Model
+	// born holds the start of each member's life that joined.
+	born  []uint64
+	since time.Time
+	// deadline is when a group that forms is given up.
+	deadline time.Time
+	cut      bool
+	// openDoubt is the time until which an unanswered open order may be
+	// carried out.
+	openDoubt time.Time
+	// headSilent is when the head was found silent.
+	headSilent time.Time
+	// adopted groups were formed by an earlier holder.
+	adopted bool
+}
+
+// vm is what the Grouper keeps of one backend server.
+type vm struct {
+	born    uint64
+	pending *Order
+	// nextTry is the earliest time for the next order.
+	nextTry time.Time
+	tries   int
+	// held keeps the server out of new groups until that time.
+	held time.Time
+	// staging is the model that is being loaded, and until when at most.
+	staging      string
+	stagingUntil time.Time
+	deadUntil    time.Time
+	probed       time.Time
+}
+
+// Begin starts a term of authority. Fence is the number of its orders; first
+// tells that no group can have been formed before.
+func (g *Grouper) Begin(now time.Time, fence uint64, first bool) {
+	g.Policy.fill()
+	g.fence, g.formed = fence, 0
+	g.learned = now.Add(g.Policy.Learning)
+	if first {
+		g.learned = now
+	}
+	g.groups = map[identifier.Group]*group{}
+	g.ended = map[identifier.Group]bool{}
+	g.vms = map[identifier.Server]*vm{}
+	g.loads = loadLimit{}
+	g.out, g.notes = nil, nil
+}
+
+// Groups lists the groups by id.
+func (g *Grouper) Groups() []Info {
+	infos := make([]Info, 0, len(g.groups))
+	for _, gr := range g.sorted() {
+		infos = append(infos, gr.info)
+	}
+	return infos
+}
+
+func (g *Grouper) sorted() []*group {
+	all := make([]*group, 0, len(g.groups))
+	for _, gr := range g.groups {
+		all = append(all, gr)
+	}
+	slices.SortFunc(all, func(a, b *group) int { return cmp.Compare(a.info.Epoch, b.info.Epoch) })
+	return all
+}
+
+// Step decides. It returns the orders to send now and what was decided.
+func (g *Grouper) Step(now time.Time, v View) ([]Order, []Note) {
+	g.now, g.view = now, v
+	g.noteServers()
+	g.adopt()
+	for _, gr := range g.sorted() {
+		g.stepGroup(gr)
+	}
+	if !now.Before(g.learned) {
+		for _, d := range g.fabrics() {
+			g.form(d)
+		}
+		for _, d := range g.fabrics() {
+			g.stageSpares(d)
+		}
+	}
+	g.forgetEnded()
+	out, notes := g.out, g.notes
+	g.out, g.notes = nil, nil
+	return out, notes
+}
+
+// Ended takes the end of an order that Step returned.
+func (g *Grouper) Ended(now time.Time, o Order, outcome Outcome) {
+	m := g.vms[o.Server]
+	if m == nil || m.pending == nil || m.pending.Action != o.Action || m.pending.Epoch != o.Epoch {
+		return
+	}
+	m.pending = nil
+	m.nextTry = now.Add(orderRetry)
+	gr := g.groups[o.Group]
+	switch {
+	case o.Action == Probe:
+		m.nextTry = now
+		if outcome == Unanswered {
+			m.deadUntil = now.Add(silentHead)
+		}
+	case outcome == Accepted:
+		m.tries = 0
+	case o.Action == Open && outcome == Unanswered && gr != nil:
+		gr.openDoubt = now.Add(orderLife)
+	case o.Action == Stage:
+		m.staging = ""
+		m.held = now.Add(holdAfterFailure)
+	case o.Action == Join && outcome != Unanswered:
+		m.held = now.Add(holdAfterFailure)
+		if gr != nil && gr.info.Phase == Forming {
+			g.dissolve(gr, fmt.Sprintf("%s: the join order was %s", o.Server, outcome))
+		}
+	}
+}
+
+// noteServers brings the Grouper's own records in line with the registry.
+func (g *Grouper) noteServers() {
+	for _, s := range g.view.Registry.All() {
+		m := g.vms[s.ID]
+		if m == nil || m.born != s.Born {
+			g.vms[s.ID] = &vm{born: s.Born}
+			continue
+		}
+		if m.staging != "" && (s.IsStaged(m.staging) || g.now.After(m.stagingUntil)) {
+			m.staging = ""
+		}
+	}
+	for id := range g.vms {
+		if g.view.Registry.Get(id) == nil {
+			delete(g.vms, id)
+		}
+	}
+}
+
+// adopt takes over the groups that servers announce and that this holder did
+// not form.
+func (g *Grouper) adopt() {
+	parts := map[identifier.Group][]*tracker.Server{}
+	for _, s := range g.view.Registry.All() {
+		id := s.Membership.Group
+		if id != "" && g.groups[id] == nil && !g.ended[id] && !s.Gone {
+			parts[id] = append(parts[id], s)
+		}
+	}
+	for id, members := range parts {
+		g.adoptGroup(id, members)
+	}
+}
+
+func (g *Grouper) adoptGroup(id identifier.Group, members []*tracker.Server) {
+	slices.SortFunc(members, func(a, b *tracker.Server) int {
+		return cmp.Compare(a.Membership.Rank, b.Membership.Rank)
+	})
+	head := members[0]
+	serving := head.Membership.Rank == 0 &&
+		(head.Membership.State == tracker.Open || head.Membership.State == tracker.Closing)
+	model, known := g.modelOf(head)
+	whole := known && len(members) == model.Size && g.sameEpoch(members)
+	if !serving && !whole && g.now.Before(g.learned) {
+		return
+	}
+	if serving && !whole && g.now.Before(g.learned) {
+		// The other members may not have been heard yet.
+		return
+	}
+	gr := &group{
+		info: Info{
+			ID: id, Epoch: head.Membership.Epoch, Model: model.Name, Fabric: head.Fabric,
+			Phase: Forming, Reason: "taken over from an earlier holder",
+		},
+		service: head.Service, model: model, since: g.now, adopted: true,
+		deadline: g.now.Add(model.Load + formSlack),
+	}
+	for _, s := range members {
+		gr.info.Members = append(gr.info.Members, s.ID)
+		gr.born = append(gr.born, s.Born)
+	}
+	g.groups[id] = gr
+	switch {
+	case serving:
+		gr.info.Phase = Serving
+		gr.openDoubt = g.now.Add(orderLife)
+		if !whole {
+			g.end(gr, true, fmt.Sprintf("only %d members were heard of", len(members)))
+		}
+	case !whole:
+		g.dissolve(gr, "the group of an earlier holder is not whole")
+	default:
+		// Its open order may be under way.
+		gr.openDoubt = g.now.Add(orderLife)
+	}
+	g.note("group taken over", gr)
+}
+
+func (g *Grouper) sameEpoch(members []*tracker.Server) bool {
+	for i, s := range members {
+		if s.Membership.Epoch != members[0].Membership.Epoch || s.Membership.Rank != i {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Grouper) modelOf(s *tracker.Server) (cataloger.Model, bool) {
+	e := g.engine(s.Service)
+	if e == nil || len(s.Models) == 0 {
+		return cataloger.Model{}, false
+	}
+	return e.Model(s.Models[0])
+}
+
+func (g *Grouper) engine(name identifier.Service) *cataloger.Engine {
+	if g.view.Catalog == nil {
+		return nil
+	}
+	if s := g.view.Catalog.Service(name); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// forgetEnded drops the records of ended groups that nobody announces any more.
+func (g *Grouper) forgetEnded() {
+	announced := map[identifier.Group]bool{}
+	for _, s := range g.view.Registry.All() {
+		announced[s.Membership.Group] = true
+	}
+	for id := range g.ended {
+		if !announced[id] {
+			delete(g.ended, id)
+		}
+	}
+}
+
+func (g *Grouper) note(text string, gr *group) {
+	info := gr.info
+	info.Members = slices.Clone(info.Members)
+	g.notes = append(g.notes, Note{Text: text, Group: info})
+}
+
+// send queues an order for a server unless one is under way or was sent just
+// now, and reports whether it did.
+func (g *Grouper) send(s *tracker.Server, o Order) bool {
+	m := g.vms[s.ID]
+	if m == nil || m.pending != nil || g.now.Before(m.nextTry) {
+		return false
+	}
+	o.Server, o.Address, o.Fence = s.ID, s.Address, g.fence
+	m.pending = &o
+	m.tries++
+	g.out = append(g.out, o)
+	return true
+}
--- /dev/null
+++ b/internal/grouper/life.go
@@ -0,0 +1,307 @@
+package grouper
+
+import (
+	"fmt"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// condition is what is wrong with a member, from the least to the worst.
+type condition int
+
+const (
+	sound condition = iota
+	// leaving members say that they drain, or operators have taken their
+	// failure domain out.
+	leaving
+	// quiet members were not heard for longer than the bound.
+	quiet
+	// lost members are dead, have restarted or are in another group.
+	lost
+)
+
+func (g *Grouper) stepGroup(gr *group) {
+	switch gr.info.Phase {
+	case Forming, Opening:
+		g.stepForming(gr)
+	case Serving:
+		g.stepServing(gr)
+	case Ending:
+		g.stepEnding(gr)
+	case Leaving:
+		g.stepLeaving(gr)
+	}
+}
+
+// examine returns the condition of member i and a text for the log.
+func (g *Grouper) examine(gr *group, i int) (condition, string) {
+	id := gr.info.Members[i]
+	s := g.view.Registry.Get(id)
+	m := g.vms[id]
+	switch {
+	case s == nil || m == nil:
+		return lost, fmt.Sprintf("%s is not known", id)
+	case s.Born != gr.born[i]:
+		return lost, fmt.Sprintf("%s has restarted", id)
+	case s.Gone:
+		return lost, fmt.Sprintf("%s is gone", id)
+	case g.now.Before(m.deadUntil):
+		return lost, fmt.Sprintf("%s does not answer", id)
+	case gr.info.Phase == Serving && s.Membership.Epoch != gr.info.Epoch:
+		return lost, fmt.Sprintf("%s is in epoch %d", id, s.Membership.Epoch)
+	case s.Silent:
+		return quiet, fmt.Sprintf("%s is silent", id)
+	case s.Draining:
+		return leaving, fmt.Sprintf("%s drains", id)
+	case g.view.Evacuated[s.Domain]:
+		return leaving, fmt.Sprintf("%s is taken out", s.Domain)
+	}
+	return sound, ""
+}
+
+// worst returns the worst condition of the members other than the head.
+func (g *Grouper) worst(gr *group) (condition, string) {
+	at, text := sound, ""
+	for i := 1; i < len(gr.info.Members); i++ {
+		if c, t := g.examine(gr, i); c > at {
+			at, text = c, t
+		}
+	}
+	return at, text
+}
+
+// stepForming moves a group on until its head is open.
+func (g *Grouper) stepForming(gr *group) {
+	ready := true
+	for i, id := range gr.info.Members {
+		if c, text := g.examine(gr, i); c != sound {
+			g.giveUp(gr, text)
+			return
+		}
+		s := g.view.Registry.Get(id)
+		if s.Membership.Epoch == gr.info.Epoch && s.Membership.Group == gr.info.ID {
+			ready = ready && s.Membership.State != tracker.Joining
+			continue
+		}
+		ready = false
+		if gr.adopted {
+			g.giveUp(gr, fmt.Sprintf("%s has left", id))
+			return
+		}
+		g.send(s, Order{
+			Action: Join, Group: gr.info.ID, Epoch: gr.info.Epoch, Model: gr.info.Model,
+			Members: gr.info.Members, Reason: "group is to be formed",
+		})
+	}
+	if g.now.After(gr.deadline) {
+		g.giveUp(gr, "forming took too long")
+		return
+	}
+	if ready {
+		g.stepOpening(gr)
+	}
+}
+
+func (g *Grouper) stepOpening(gr *group) {
+	head := g.view.Registry.Get(gr.info.Members[0])
+	switch head.Membership.State {
+	case tracker.Open:
+		gr.info.Phase, gr.since = Serving, g.now
+		gr.info.Reason = ""
+		g.note("group serves", gr)
+	case tracker.Broken, tracker.Closing:
+		g.giveUp(gr, fmt.Sprintf("the head says that it is %s", head.Membership.State))
+	default:
+		if gr.info.Phase == Forming {
+			gr.info.Phase = Opening
+			g.note("every member is ready", gr)
+		}
+		g.send(head, Order{Action: Open, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "every member is ready"})
+	}
+}
+
+// giveUp ends a group that was not seen to serve. Once an open order was sent
+// the head may serve, so it is closed like one that does.
+func (g *Grouper) giveUp(gr *group, reason string) {
+	if gr.info.Phase == Opening || gr.adopted {
+		g.end(gr, true, reason)
+		return
+	}
+	g.dissolve(gr, reason)
+}
+
+// stepServing watches a group that takes requests.
+func (g *Grouper) stepServing(gr *group) {
+	headIs, headText := g.examine(gr, 0)
+	memberIs, memberText := g.worst(gr)
+	head := g.view.Registry.Get(gr.info.Members[0])
+	doubt, doubted := g.view.Doubts[gr.info.Members[0]]
+	answers := doubted && doubt.AnsweredAgo < stallEvidence
+	stalled := doubted && doubt.Stalled >= stalledRequests && doubt.AnsweredAgo >= stallEvidence
+	switch {
+	case headIs == lost:
+		g.dissolve(gr, headText)
+	case head.Membership.State == tracker.Broken:
+		g.dissolve(gr, "the head says that the group is broken")
+	case head.Membership.State == tracker.Ready || head.Membership.State == tracker.Joining:
+		g.dissolve(gr, "the head does not serve")
+	case head.Membership.State == tracker.Closing:
+		g.end(gr, false, "the head closes")
+	case headIs == quiet:
+		g.stepSilentHead(gr, doubt, doubted)
+	case memberIs == lost:
+		g.end(gr, true, memberText)
+	case memberIs == quiet && !answers:
+		// Members that only the core has lost do not stop the head.
+		g.end(gr, true, memberText)
+	case headIs == leaving:
+		g.end(gr, false, headText)
+	case memberIs == leaving:
+		g.end(gr, false, memberText)
+	case stalled:
+		g.probeMembers(gr)
+		g.end(gr, true, fmt.Sprintf("%d requests stand still for %s", doubt.Stalled, doubt.AnsweredAgo))
+	default:
+		gr.headSilent = time.Time{}
+	}
+}
+
+// probeMembers asks every member whether it answers, so that the dead one is not
+// taken into the next group.
+func (g *Grouper) probeMembers(gr *group) {
+	for _, id := range gr.info.Members[1:] {
+		s, m := g.view.Registry.Get(id), g.vms[id]
+		if s == nil || m == nil || m.pending != nil || g.now.Sub(m.probed) < silentHead {
+			continue
+		}
+		m.probed = g.now
+		g.send(s, Order{Action: Probe, Reason: "its group stands still"})
+	}
+}
+
+// stepSilentHead handles a group whose head the core does not hear. The head may
+// be dead, or serve behind a cut.
+func (g *Grouper) stepSilentHead(gr *group, d Doubt, doubted bool) {
+	if gr.headSilent.IsZero() {
+		gr.headSilent = g.now
+	}
+	switch {
+	case doubted && d.AnsweredAgo < g.Policy.Beat:
+		gr.headSilent = g.now
+	case doubted && d.Unreachable >= unreachableTries:
+		g.dissolve(gr, "the head is silent and cannot be reached by requests")
+	case g.now.Sub(gr.headSilent) > silentHead:
+		// Nobody has news of it. Without its members it breaks by itself.
+		g.dissolve(gr, "the head is silent")
+		g.holdMembers(gr, g.Policy.Stall+orderRetry)
+	}
+}
+
+// holdMembers keeps the members of a group out of others for a while, and sends
+// them away so that a head that still serves breaks.
+func (g *Grouper) holdMembers(gr *group, d time.Duration) {
+	for _, id := range gr.info.Members {
+		s, m := g.view.Registry.Get(id), g.vms[id]
+		if s == nil || m == nil {
+			continue
+		}
+		m.held = g.now.Add(d)
+		if !s.Silent && !s.Gone {
+			g.send(s, Order{Action: Leave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "its head is silent"})
+		}
+	}
+}
+
+// end starts to close a group.
+func (g *Grouper) end(gr *group, cut bool, reason string) {
+	gr.info.Phase, gr.info.Reason, gr.since = Ending, reason, g.now
+	gr.cut = cut
+	g.note("group is to end", gr)
+	g.stepEnding(gr)
+}
+
+func (g *Grouper) stepEnding(gr *group) {
+	headIs, headText := g.examine(gr, 0)
+	head := g.view.Registry.Get(gr.info.Members[0])
+	if headIs == lost {
+		g.dissolve(gr, headText)
+		return
+	}
+	if head.Membership.Epoch != gr.info.Epoch {
+		g.dissolve(gr, gr.info.Reason)
+		return
+	}
+	g.hasten(gr)
+	switch head.Membership.State {
+	case tracker.Broken:
+		g.dissolve(gr, gr.info.Reason)
+		return
+	case tracker.Ready, tracker.Joining:
+		if g.now.Before(gr.openDoubt) {
+			gr.info.Phase = Leaving
+			g.stepLeaving(gr)
+			return
+		}
+		if g.orderSettled(head.ID) {
+			g.dissolve(gr, gr.info.Reason)
+		}
+		return
+	}
+	if headIs == quiet {
+		d, doubted := g.view.Doubts[head.ID]
+		g.stepSilentHead(gr, d, doubted)
+		if g.groups[gr.info.ID] == nil {
+			return
+		}
+	}
+	if head.Membership.State == tracker.Closing && !gr.cut {
+		return
+	}
+	g.send(head, Order{Action: Close, Group: gr.info.ID, Epoch: gr.info.Epoch, Cut: gr.cut, Reason: gr.info.Reason})
+}
+
+// hasten makes a planned end cut the requests that are left once a member is
+// lost or it has taken too long.
+func (g *Grouper) hasten(gr *group) {
+	memberIs, text := g.worst(gr)
+	if gr.cut || memberIs < quiet && g.now.Sub(gr.since) < endPatience {
+		return
+	}
+	if memberIs < quiet {
+		text = "requests did not end in time"
+	}
+	gr.cut, gr.info.Reason = true, text
+	g.note("group is cut", gr)
+}
+
+// orderSettled reports whether no order to a server is under way.
+func (g *Grouper) orderSettled(id identifier.Server) bool {
+	m := g.vms[id]
+	return m == nil || m.pending == nil
+}
+
+// stepLeaving makes the head leave, so that a late open order finds nothing.
+func (g *Grouper) stepLeaving(gr *group) {
+	headIs, _ := g.examine(gr, 0)
+	head := g.view.Registry.Get(gr.info.Members[0])
+	if headIs == lost || head.Membership.Epoch != gr.info.Epoch {
+		g.dissolve(gr, gr.info.Reason)
+		return
+	}
+	if headIs == quiet && g.now.Sub(gr.since) > silentHead {
+		g.dissolve(gr, gr.info.Reason)
+		g.holdMembers(gr, g.Policy.Stall+orderRetry)
+		return
+	}
+	g.send(head, Order{Action: Leave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "its open order may be late"})
+}
+
+// dissolve frees the members of a group whose head does not serve.
+func (g *Grouper) dissolve(gr *group, reason string) {
+	gr.info.Reason = reason
+	g.note("group has ended", gr)
+	delete(g.groups, gr.info.ID)
+	g.ended[gr.info.ID] = true
+}
--- /dev/null
+++ b/internal/grouper/types.go
@@ -0,0 +1,211 @@
+// Package grouper decides which backend servers form replica groups, for
+// engines that take the steps of a group one by one.
+//
+// Such an engine is told to join a group, and the first member, the head, is
+// told to open it; nobody but the Grouper checks that the other members are
+// there. It is a core without input or output: each Step compares what backend
+// servers announce with the groups that should be, and returns the orders to
+// send now. The rules that it keeps:
+//
+//   - A group is opened only after every member has announced that it is ready
+//     in that group and epoch. An epoch is never used for two lists of members.
+//   - A backend server joins another group only when the head of its last group
+//     is known not to serve and not to stand still.
+//   - A group that lost a member is closed at once; one with a member that
+//     leaves is closed after its requests have ended.
+//   - Loads from the weight store stay within the declared rate.
+//
+// Orders may be carried out late. Epochs only grow, so a late join order is
+// refused by a server that has joined since; a group whose open order may still
+// be under way is left by its head before its members are used again.
+package grouper
+
+import (
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// Action is what an order tells a backend server to do.
+type Action string
+
+// Actions.
+const (
+	Join  Action = "join"
+	Open  Action = "open"
+	Close Action = "close"
+	Leave Action = "leave"
+	Stage Action = "stage"
+	// Probe asks whether the server answers; it changes nothing.
+	Probe Action = "probe"
+)
+
+// Order is one message to a backend server.
+type Order struct {
+	Action  Action
+	Server  identifier.Server
+	Address string
+	Group   identifier.Group
+	Epoch   uint64
+	Model   string
+	// Members lists the group's servers in a Join, the head first.
+	Members []identifier.Server
+	// Cut makes a Close end running requests.
+	Cut bool
+	// Fence is the fencing number of the process that gives the order.
+	Fence uint64
+	// Reason says why the order is given.
+	Reason string
+}
+
+// Outcome is the end of an order.
+type Outcome int
+
+// Outcomes.
+const (
+	// Unanswered orders may have been carried out or may yet be.
+	Unanswered Outcome = iota
+	// Accepted orders have begun or are done.
+	Accepted
+	// Unfit orders do not match the server's state.
+	Unfit
+	// Fenced orders carried a fencing number or an epoch that was too low.
+	Fenced
+	// Misdirected orders reached another server.
+	Misdirected
+)
+
+// String returns the outcome in lower case.
+func (o Outcome) String() string {
+	switch o {
+	case Accepted:
+		return "accepted"
+	case Unfit:
+		return "unfit"
+	case Fenced:
+		return "fenced"
+	case Misdirected:
+		return "misdirected"
+	}
+	return "unanswered"
+}
+
+// Doubt is what requests have shown of a backend server that may be dead or
+// stand still.
+type Doubt struct {
+	// AnsweredAgo is the time since the last answer or event.
+	AnsweredAgo time.Duration
+	// Unreachable counts connections that could not be opened since.
+	Unreachable int
+	// Stalled counts requests that wait for it.
+	Stalled int
+}
+
+// View is all that a Step goes by.
+type View struct {
+	Registry  *tracker.Registry
+	Catalog   *cataloger.Catalog
+	Evacuated map[identifier.FailureDomain]bool
+	Doubts    map[identifier.Server]Doubt
+	// Demand is the engine time asked for in each second, by model.
+	Demand map[string]float64
+}
+
+// Phase is where a group is in its life.
+type Phase string
+
+// Phases.
+const (
+	// Forming groups wait until every member is ready.
+	Forming Phase = "forming"
+	// Opening groups wait for the head to open.
+	Opening Phase = "opening"
+	// Serving groups take requests.
+	Serving Phase = "serving"
+	// Ending groups wait for the head to stop serving.
+	Ending Phase = "ending"
+	// Leaving groups wait for the head to leave.
+	Leaving Phase = "leaving"
+)
+
+// Info describes a group for logs and dumps.
+type Info struct {
+	ID      identifier.Group        `json:"id"`
+	Epoch   uint64                  `json:"epoch"`
+	Model   string                  `json:"model"`
+	Fabric  identifier.FabricDomain `json:"fabric_domain"`
+	Members []identifier.Server     `json:"members"`
+	Phase   Phase                   `json:"phase"`
+	Reason  string                  `json:"reason,omitempty"`
+}
+
+// Note is one decision, for the log.
+type Note struct {
+	Text  string
+	Group Info
+}
+
+// Policy holds the Grouper's choices. Zero values take the defaults.
+type Policy struct {
+	// Learning is how long a new holder listens before it takes a group that it
+	// does not see whole for short.
+	Learning time.Duration
+	// Stall is how long a head with a lost member stands still before it says
+	// so itself.
+	Stall time.Duration
+	// Beat is the time between two announcements of one server.
+	Beat time.Duration
+	// SpareShare is the least share of a fabric domain's servers that forms no
+	// group, so that a lost member can be replaced at once.
+	SpareShare float64
+}
+
+// Defaults of Policy and bounds that depend on no deployment.
+const (
+	defaultLearning   = 3 * time.Second
+	defaultStall      = 6 * time.Second
+	defaultBeat       = 1200 * time.Millisecond
+	defaultSpareShare = 0.2
+	// orderRetry is the pause before an order without the wanted effect is sent
+	// again: about a round trip, a step of the engine and the announcement.
+	orderRetry = 400 * time.Millisecond
+	// orderLife is the longest time for which an unanswered order may be carried
+	// out late; the platform's pages give 12 s.
+	orderLife = 13 * time.Second
+	// endPatience is how long running requests may hold up a planned end; the
+	// platform's pages give 10 s for a member that drains.
+	endPatience = 8 * time.Second
+	// formSlack is added to the longest time that forming a group should take.
+	formSlack = 5 * time.Second
+	// holdAfterFailure keeps a server out of new groups after it failed to join.
+	holdAfterFailure = 4 * time.Second
+	// stallEvidence is how long no request at a head must have moved before its
+	// group counts as standing still: several passes of the engine.
+	stallEvidence = 450 * time.Millisecond
+	// stalledRequests is the least number of requests that must stand still.
+	stalledRequests = 2
+	// unreachableTries is the least number of failed connections that, with
+	// silence, count as the death of a head.
+	unreachableTries = 2
+	// loadWindow is the span over which loads from the store are counted.
+	loadWindow = 5 * time.Second
+	// silentHead is how long a head that nobody has news of is waited for.
+	silentHead = 8 * time.Second
+)
+
+func (p *Policy) fill() {
+	if p.Learning == 0 {
+		p.Learning = defaultLearning
+	}
+	if p.Stall == 0 {
+		p.Stall = defaultStall
+	}
+	if p.Beat == 0 {
+		p.Beat = defaultBeat
+	}
+	if p.SpareShare == 0 {
+		p.SpareShare = defaultSpareShare
+	}
+}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -19,6 +19,9 @@
 // Region is the id of a set of failure domains near each other.
 type Region string
 
+// Server is the id of one backend server. It may keep its id over a restart.
+type Server string
+
 // Service is the id of a declared model service or plain service.
 type Service string
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -138,3 +138,58 @@
 	b.spent++
 	return true
 }
+
+// Window bounds repeats in any span of time: at most Ratio times the requests of
+// that span plus Slack. Exported fields may change between calls; the zero value
+// allows nothing.
+type Window struct {
+	Ratio float64
+	Slack float64
+	Span  time.Duration
+
+	buckets [windowBuckets]windowBucket
+}
+
+// windowBuckets is the number of parts that a span is counted in.
+const windowBuckets = 20
+
+type windowBucket struct {
+	number   int64
+	requests int
+	repeats  int
+}
+
+func (w *Window) at(now time.Time) *windowBucket {
+	width := max(int64(w.Span)/windowBuckets, 1)
+	n := now.UnixNano() / width
+	b := &w.buckets[n%windowBuckets]
+	if b.number != n {
+		*b = windowBucket{number: n}
+	}
+	return b
+}
+
+// Request notes a first try.
+func (w *Window) Request(now time.Time) { w.at(now).requests++ }
+
+// Repeat reports whether one more repeat is allowed now, and counts it.
+func (w *Window) Repeat(now time.Time) bool {
+	if !w.Allows(now) {
+		return false
+	}
+	w.at(now).repeats++
+	return true
+}
+
+// Allows reports whether one more repeat is allowed now.
+func (w *Window) Allows(now time.Time) bool {
+	last := w.at(now).number
+	requests, repeats := 0, 0
+	for _, b := range w.buckets {
+		if b.number > last-windowBuckets {
+			requests += b.requests
+			repeats += b.repeats
+		}
+	}
+	return float64(repeats+1) <= w.Ratio*float64(requests)+w.Slack
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -73,6 +73,9 @@
 	Key string
 	// Addresses maps every peer to host:port of its control address.
 	Addresses map[identifier.VM]string
+	// Open takes peers that Addresses does not list. The id of such a peer is
+	// host:port of its address.
+	Open bool
 	// Scheme is ws or wss.
 	Scheme string
 	Dialer Dialer
@@ -126,7 +129,7 @@
 func (l *Linker) link(to identifier.VM) *link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	address, known := l.Addresses[to]
+	address, known := l.addressOf(to)
 	if l.closed || !known || to == l.VM {
 		return nil
 	}
@@ -142,6 +145,18 @@
 	return k
 }
 
+// addressOf returns the address of a peer that this Linker talks to.
+func (l *Linker) addressOf(vm identifier.VM) (string, bool) {
+	if address, listed := l.Addresses[vm]; listed {
+		return address, true
+	}
+	if !l.Open {
+		return "", false
+	}
+	_, _, err := net.SplitHostPort(string(vm))
+	return string(vm), err == nil
+}
+
 // forget removes a link that has ended, so that the next message opens one.
 func (l *Linker) forget(k *link) {
 	l.mu.Lock()
@@ -190,7 +205,7 @@
 		return
 	}
 	from := identifier.VM(r.Header.Get(headerVM))
-	if _, known := l.Addresses[from]; !known {
+	if _, known := l.addressOf(from); !known {
 		http.Error(w, "the peer is not in the settings", http.StatusForbidden)
 		return
 	}
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -79,6 +79,20 @@
 	Entries  []Entry
 }
 
+// NewStored returns what each of the first voters of a new log begins with: an
+// entry that names them. All of them have to name the same voters.
+func NewStored(voters []NodeID) Stored {
+	const firstTerm = 1
+	return Stored{
+		State:   HardState{Term: firstTerm},
+		Entries: []Entry{{Index: 1, Term: firstTerm, Kind: EntryVoters, Data: encodeVoters(voters)}},
+	}
+}
+
+// Hasten brings the next election forward. It is used on a new log, where
+// nobody can lead yet.
+func (n *Node) Hasten() { n.electionLimit = 1 + n.Rand.IntN(max(n.ElectionTicks/2, 1)) }
+
 // Start loads what was stored. It is called once, before any other method.
 func (n *Node) Start(s Stored) {
 	n.state = s.State
@@ -114,6 +128,10 @@
 // FirstIndex returns the first entry that is not covered by the snapshot.
 func (n *Node) FirstIndex() Index { return n.log.first() }
 
+// Settled reports whether this Node leads and has committed an entry of its
+// term.
+func (n *Node) Settled() bool { return n.role == Leader && n.commit >= n.blank }
+
 // Voters returns the newest set of voters in the log.
 func (n *Node) Voters() []NodeID { return n.changes[len(n.changes)-1].voters }
 
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -60,6 +60,10 @@
 	return (&net.ListenConfig{}).Listen(ctx, network, address)
 }
 
+// NewNetwork returns the operating system's network, whose connections end when
+// the other end has been unreachable for about the silence bound.
+func NewNetwork(silence time.Duration) Network { return tcp{newDialer(silence)} }
+
 func newTransport(d Network, c *credentials) *http.Transport {
 	const (
 		idlePerHost = 256
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/leaser"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
@@ -14,7 +15,7 @@
 	switch {
 	case e.GetLog() != nil:
 		if d := s.logs[e.GetLog().GetLog()]; d != nil {
-			d.Deliver(decodeLog(e.GetLog()))
+			d.Deliver(encoder.DecodeLog(e.GetLog()))
 		}
 		return nil, nil
 	case e.GetProposal() != nil:
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,261 @@
+// Package tracker keeps what backend servers announce of themselves.
+//
+// Announcements arrive late, twice, out of order and by several ways. A Registry
+// orders them by the start of the server and by the sequence within one life, so
+// that every process that has heard the same announcements holds the same state.
+// It also numbers its changes, so that another process can ask for those that it
+// lacks. It is a core without input or output.
+package tracker
+
+import (
+	"slices"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// GroupState is where a backend server is in the life of its replica group.
+type GroupState string
+
+// Group states.
+const (
+	Joining GroupState = "joining"
+	Ready   GroupState = "ready"
+	Open    GroupState = "open"
+	Closing GroupState = "closing"
+	Broken  GroupState = "broken"
+)
+
+// Membership is a backend server's place in a replica group. The zero value
+// means that it is in none.
+type Membership struct {
+	Group identifier.Group
+	// Epoch grows with each group that a server joins.
+	Epoch uint64
+	// Rank is 0 for the member that takes the group's requests.
+	Rank  int
+	State GroupState
+}
+
+// Server is what one backend server announced last.
+type Server struct {
+	ID      identifier.Server
+	Service identifier.Service
+	Address string
+	Domain  identifier.FailureDomain
+	Fabric  identifier.FabricDomain
+	// Software is the version of the server's program.
+	Software string
+	Slots    int
+	Draining bool
+	// ColdUntil is when the server stops being cold.
+	ColdUntil time.Time
+	// Born is the Unix time of the server's start in milliseconds.
+	Born uint64
+	// Sequence orders the announcements of one life.
+	Sequence uint64
+	// Staged are the models on the server's host, Models the loaded ones.
+	Staged     []string
+	Models     []string
+	Membership Membership
+	// Gone is set once the server said that it leaves.
+	Gone bool
+	// Silent is set while nothing was heard for longer than the bound.
+	Silent bool
+	// HeardAt is when the server was heard last by any process.
+	HeardAt time.Time
+}
+
+// Usable reports whether new work may go to the server.
+func (s *Server) Usable() bool { return !s.Draining && !s.Gone }
+
+// Serving reports whether the server takes the requests of an open group.
+func (s *Server) Serving() bool {
+	return s.Usable() && s.Membership.Rank == 0 && s.Membership.State == Open
+}
+
+// IsStaged reports whether the weights of a model are on the server's host.
+func (s *Server) IsStaged(model string) bool { return slices.Contains(s.Staged, model) }
+
+// Cold reports whether the server is cold.
+func (s *Server) Cold(now time.Time) bool { return now.Before(s.ColdUntil) }
+
+// coldSlack is the difference of two statements of the end of a cold start that
+// is no change: the time that an announcement takes on its way.
+const coldSlack = 500 * time.Millisecond
+
+// sameAs reports whether o says the same but for when it was said.
+func (s *Server) sameAs(o *Server) bool {
+	cold := s.ColdUntil.Sub(o.ColdUntil).Abs() <= coldSlack ||
+		!s.ColdUntil.After(s.HeardAt) && !o.ColdUntil.After(o.HeardAt)
+	return cold && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain &&
+		s.Fabric == o.Fabric && s.Software == o.Software && s.Slots == o.Slots &&
+		s.Draining == o.Draining && s.Born == o.Born && s.Membership == o.Membership &&
+		s.Gone == o.Gone && slices.Equal(s.Staged, o.Staged) && slices.Equal(s.Models, o.Models)
+}
+
+// Registry holds the backend servers. Its zero value is empty; it is not safe
+// for concurrent use.
+type Registry struct {
+	// Silence is the time after which a server that was not heard counts as
+	// silent.
+	Silence time.Duration
+
+	servers  map[identifier.Server]*entry
+	revision uint64
+}
+
+type entry struct {
+	server   Server
+	revision uint64
+}
+
+// forgetAfter is how long a server that is gone or silent is remembered, so that
+// announcements which were held up do not bring it back.
+const forgetAfter = 3 * time.Minute
+
+// Revision numbers the last change.
+func (g *Registry) Revision() uint64 { return g.revision }
+
+// Bump counts a change of something else that is followed together with the
+// servers.
+func (g *Registry) Bump() { g.revision++ }
+
+// Get returns a server, or nil. The result must not be changed.
+func (g *Registry) Get(id identifier.Server) *Server {
+	if e := g.servers[id]; e != nil {
+		return &e.server
+	}
+	return nil
+}
+
+// All returns every server by id. The results must not be changed.
+func (g *Registry) All() []*Server {
+	all := make([]*Server, 0, len(g.servers))
+	for _, e := range g.servers {
+		all = append(all, &e.server)
+	}
+	slices.SortFunc(all, func(a, b *Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Since returns the servers that changed after a revision.
+func (g *Registry) Since(revision uint64) []*Server {
+	var out []*Server
+	for _, e := range g.servers {
+		if e.revision > revision {
+			out = append(out, &e.server)
+		}
+	}
+	return out
+}
+
+// Hear takes an announcement, and reports whether it changed anything but the
+// time. An older one than that known is dropped.
+func (g *Registry) Hear(s Server) (changed bool) {
+	e := g.servers[s.ID]
+	if e == nil {
+		if g.servers == nil {
+			g.servers = map[identifier.Server]*entry{}
+		}
+		g.servers[s.ID] = &entry{server: s}
+		g.touch(g.servers[s.ID])
+		g.supersede(&s)
+		return true
+	}
+	old := &e.server
+	switch {
+	case s.Born < old.Born:
+		return false
+	case s.Born == old.Born && old.Gone:
+		// One that left does not come back in the same life.
+		return false
+	case s.Born == old.Born && s.Sequence < old.Sequence && !s.Gone:
+		return false
+	}
+	if s.HeardAt.Before(old.HeardAt) {
+		s.HeardAt = old.HeardAt
+	}
+	s.Silent = false
+	changed = old.Silent || !s.sameAs(old)
+	*old = s
+	if changed {
+		g.touch(e)
+		g.supersede(&s)
+	}
+	return changed
+}
+
+// supersede marks servers gone whose address a later one has.
+func (g *Registry) supersede(s *Server) {
+	if s.Gone || s.Address == "" {
+		return
+	}
+	for _, e := range g.servers {
+		o := &e.server
+		if o.ID != s.ID && o.Address == s.Address && !o.Gone && o.Born < s.Born {
+			o.Gone = true
+			g.touch(e)
+		}
+	}
+}
+
+func (g *Registry) touch(e *entry) {
+	g.revision++
+	e.revision = g.revision
+}
+
+// Leave notes that a server said that it leaves. Born is 0 when it did not say
+// which of its lives ends.
+func (g *Registry) Leave(now time.Time, id identifier.Server, born uint64) (changed bool) {
+	e := g.servers[id]
+	if e == nil {
+		return g.Hear(Server{ID: id, Born: born, Gone: true, HeardAt: now})
+	}
+	if e.server.Gone || born != 0 && born < e.server.Born {
+		return false
+	}
+	e.server.Gone = true
+	e.server.HeardAt = now
+	g.touch(e)
+	return true
+}
+
+// Sweep marks the servers silent that were not heard for the bound, forgets
+// those that are long gone, and returns the ids newly marked.
+func (g *Registry) Sweep(now time.Time) []identifier.Server {
+	var silent []identifier.Server
+	for id, e := range g.servers {
+		quiet := now.Sub(e.server.HeardAt)
+		switch {
+		case quiet > forgetAfter:
+			delete(g.servers, id)
+		case quiet > g.Silence && !e.server.Silent && !e.server.Gone:
+			e.server.Silent = true
+			g.touch(e)
+			silent = append(silent, id)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
+
+// Replace takes a server as another registry has it. It is used by a process
+// that follows that registry.
+func (g *Registry) Replace(s Server) {
+	if g.servers == nil {
+		g.servers = map[identifier.Server]*entry{}
+	}
+	// A new entry leaves what All has handed out as it was.
+	e := &entry{server: s}
+	g.servers[s.ID] = e
+	g.touch(e)
+}
+
+// Clear forgets everything but the count of changes.
+func (g *Registry) Clear() { g.servers = nil }
