grouper: keep members of a head that nobody hears

Besides, groups that waited for a member to load bound the others for 12 to 16 s.

Ruled out: a wait longer than stall_ms, since a head behind a cut serves on for as long as the cut lasts.

Change: a group whose head is silent is abandoned: members that are heard get a leave order and are free once they announce it; the group serves again when it is heard whole. Members without a known head wait and then leave. Groups form from servers that have the weights; loads are staged where they help most, and three times as many run at once while there are no callers. A new holder that has listened long enough does not wait.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -257,7 +257,7 @@
 		rank += otherDomain
 	}
 	w := c.at(s.ID)
-	if now.Before(w.suspectUntil) || s.Silent {
+	if now.Before(w.suspectUntil) || s.Silent && now.Sub(w.answered) > suspectFor {
 		rank += suspectPenalty
 	}
 	return rank
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -57,7 +57,7 @@
 	}
 	if p.term != term {
 		first := c.Settings.FirstStart && term <= maxFirstTerm && now.Sub(c.started) < startSpan
-		p.grouper.Begin(now, uint64(term), first)
+		p.grouper.Begin(now, uint64(term), first, c.started)
 		p.term = term
 		p.samples = nil
 		_ = level.Info(c.Logger).Log("msg", "placement authority is held", "term", term, "first_start", first)
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -43,7 +43,9 @@
 	}
 	for _, gr := range g.sorted() {
 		for _, id := range gr.info.Members {
-			taken[id] = true
+			if !gr.left[id] {
+				taken[id] = true
+			}
 		}
 		f := at(key{gr.info.Fabric, gr.service})
 		f.groups = append(f.groups, gr)
@@ -76,6 +78,10 @@
 		return false
 	}
 	ms := s.Membership
+	if ms.Group != "" && !g.ended[ms.Group] {
+		// Its group was not taken over yet.
+		return false
+	}
 	return ms.Rank != 0 || ms.State != tracker.Open && ms.State != tracker.Closing
 }
 
@@ -86,22 +92,38 @@
 		if members == nil {
 			return
 		}
-		if loads > 0 && !g.loads.allow(g.now, g.loading(), loads, f.engine) {
+		if loads > 0 && !g.loads.allow(g.now, g.loading(), loads, f.engine, g.crowd()) {
 			return
 		}
 		g.formGroup(f, m, members, loads)
 	}
 }
 
+// idle reports whether no caller has asked for anything yet. Until then loads
+// cost nobody anything.
+func (g *Grouper) idle() bool { return len(g.view.Demand) == 0 && g.first }
+
+// crowd is how many times the loads that run at full speed may run at once. The
+// store's whole speed stays the same, so more only make sense while nobody waits
+// for the first ones.
+func (g *Grouper) crowd() float64 {
+	if g.idle() {
+		return idleCrowd
+	}
+	return 1
+}
+
 // best chooses the model that is shortest of groups among those that the free
-// servers can form, and the servers for it.
+// servers can form, and the servers for it. Members that would have to load
+// weights are taken only while there are no callers: later they would bind the
+// others, which are of more use as spares.
 func (g *Grouper) best(f *fabric) (cataloger.Model, []*tracker.Server, int) {
 	var model cataloger.Model
 	var members []*tracker.Server
 	loads, need := 0, math.Inf(-1)
 	for _, m := range f.engine.Models {
 		ms, l := g.pick(f, m)
-		if ms == nil || l > 0 && !g.mayLoadFor(f, m, ms) {
+		if ms == nil || l > 0 && !(g.idle() && g.mayLoadFor(f, m, ms)) {
 			continue
 		}
 		n := g.need(f.service, f.engine, m)
@@ -116,6 +138,15 @@
 	return model, members, loads
 }
 
+const (
+	// idleCrowd is how many times the loads that run at full speed run at once
+	// while there are no callers.
+	idleCrowd = 3
+	// spareValue is the worth of the first spare for a model, as a part of a
+	// group.
+	spareValue = 0.8
+)
+
 // loadPenalty outweighs any difference in need: forming without a load takes a
 // tenth of the time.
 const loadPenalty = 1000
@@ -133,7 +164,7 @@
 	free = free[:m.Size]
 	loads := 0
 	for _, s := range free {
-		if g.effort(s, m.Name) >= effortLoad {
+		if g.effort(s, m.Name) >= effortStaging {
 			loads++
 		}
 	}
@@ -184,13 +215,18 @@
 func (g *Grouper) need(service identifier.Service, e *cataloger.Engine, m cataloger.Model) float64 {
 	groups := 0
 	for _, gr := range g.groups {
-		if gr.service == service && gr.info.Model == m.Name && gr.info.Phase != Ending && gr.info.Phase != Leaving {
+		if gr.service == service && gr.info.Model == m.Name && gr.counts() {
 			groups++
 		}
 	}
 	return g.demand(e, m) / float64(groups+1)
 }
 
+// counts reports whether a group serves or will.
+func (gr *group) counts() bool {
+	return gr.info.Phase == Forming || gr.info.Phase == Opening || gr.info.Phase == Serving
+}
+
 // demand is the engine time asked for by model, or its declared share while
 // nothing was measured.
 func (g *Grouper) demand(e *cataloger.Engine, m cataloger.Model) float64 {
@@ -217,7 +253,7 @@
 	for _, s := range members {
 		gr.info.Members = append(gr.info.Members, s.ID)
 		gr.born = append(gr.born, s.Born)
-		if loads > 0 && g.effort(s, m.Name) >= effortLoad {
+		if g.effort(s, m.Name) >= effortLoad {
 			g.startLoad(s, m)
 		}
 	}
@@ -261,53 +297,73 @@
 	return n
 }
 
-// stageSpares loads weights onto free servers that have none, so that they can
-// replace a lost member at once or complete a group.
-func (g *Grouper) stageSpares(f *fabric) {
-	for _, s := range f.free {
-		if len(s.Staged) > 0 || g.vms[s.ID].staging != "" {
-			continue
+// stageSpares loads weights onto free servers that have none, where that helps
+// most, so that they can replace a lost member at once or complete a group.
+func (g *Grouper) stageSpares(fs []*fabric) {
+	for {
+		var at *fabric
+		var model cataloger.Model
+		most := 0.0
+		for _, f := range fs {
+			if g.blank(f) == nil {
+				continue
+			}
+			for _, m := range f.engine.Models {
+				if v := g.stageValue(f, m); v > most {
+					at, model, most = f, m, v
+				}
+			}
 		}
-		m, ok := g.spareModel(f)
-		if !ok || !g.loads.allow(g.now, g.loading(), 1, f.engine) {
+		if at == nil || !g.loads.allow(g.now, g.loading(), 1, at.engine, g.crowd()) {
 			return
 		}
-		if g.send(s, Order{Action: Stage, Model: m.Name, Reason: "spare without weights"}) {
-			g.startLoad(s, m)
+		s := g.blank(at)
+		if !g.send(s, Order{Action: Stage, Model: model.Name, Reason: "spare without weights"}) {
+			g.vms[s.ID].held = g.now.Add(orderRetry)
+			at.free = slices.DeleteFunc(at.free, func(o *tracker.Server) bool { return o == s })
+			continue
 		}
+		g.startLoad(s, model)
 	}
 }
 
-// spareModel chooses the weights for the next spare of a fabric domain: those of
-// the started set that lacks least, or of the groups that have fewest spares.
-func (g *Grouper) spareModel(f *fabric) (cataloger.Model, bool) {
-	var chosen cataloger.Model
-	found, score := false, math.Inf(-1)
-	for _, m := range f.engine.Models {
-		groups, spares := 0, 0
+// blank returns a free server of a fabric domain that has no weights and loads
+// none, or nil.
+func (g *Grouper) blank(f *fabric) *tracker.Server {
+	for _, s := range f.free {
+		if len(s.Staged) == 0 && g.vms[s.ID].staging == "" {
+			return s
+		}
+	}
+	return nil
+}
+
+// stageValue is the worth of one more free server with the weights of a model in
+// a fabric domain: its part of the next group, or the group that it will save.
+func (g *Grouper) stageValue(f *fabric, m cataloger.Model) float64 {
+	staged, blank := 0, 0
+	for _, s := range f.free {
+		switch {
+		case s.IsStaged(m.Name) || g.vms[s.ID].staging == m.Name:
+			staged++
+		case len(s.Staged) == 0 && g.vms[s.ID].staging == "":
+			blank++
+		}
+	}
+	value := 0.0
+	if missing := m.Size - staged%m.Size; missing <= blank {
+		value = 1 / float64(missing)
+	}
+	if staged == 0 {
+		groups := 0
 		for _, gr := range f.groups {
 			if gr.info.Model == m.Name {
 				groups++
 			}
 		}
-		for _, s := range f.free {
-			if s.IsStaged(m.Name) || g.vms[s.ID].staging == m.Name {
-				spares++
-			}
-		}
-		missing := m.Size - spares%m.Size
-		s := g.need(f.service, f.engine, m)
-		if groups > spares {
-			s += loadPenalty
-		}
-		if spares > 0 && missing < m.Size {
-			s += 1 / float64(missing)
-		}
-		if s > score {
-			chosen, found, score = m, true, s
-		}
+		value = max(value, spareValue*min(float64(groups), 1))
 	}
-	return chosen, found
+	return value * g.need(f.service, f.engine, m)
 }
 
 // loadLimit bounds the loads that start.
@@ -318,9 +374,10 @@
 func (l *loadLimit) note(now time.Time) { l.starts = append(l.starts, now) }
 
 // allow reports whether n more loads may start while running ones are under way.
-func (l *loadLimit) allow(now time.Time, running, n int, e *cataloger.Engine) bool {
+// Crowd multiplies the number of loads that may run at once.
+func (l *loadLimit) allow(now time.Time, running, n int, e *cataloger.Engine, crowd float64) bool {
 	l.starts = slices.DeleteFunc(l.starts, func(t time.Time) bool { return now.Sub(t) >= loadWindow })
-	if e.LoadsAtOnce > 0 && running >= e.LoadsAtOnce {
+	if e.LoadsAtOnce > 0 && float64(running) >= crowd*float64(e.LoadsAtOnce) {
 		return false
 	}
 	return e.LoadsPerSecond <= 0 || float64(len(l.starts)+n) <= e.LoadsPerSecond*loadWindow.Seconds()
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -19,14 +19,20 @@
 type Grouper struct {
 	Policy Policy
 
-	fence   uint64
-	formed  uint64
+	fence  uint64
+	formed uint64
+	// first is set while no group can have been formed by others and no caller
+	// has come.
+	first   bool
 	learned time.Time
 	groups  map[identifier.Group]*group
 	// ended holds the groups that are over but may still be announced.
 	ended map[identifier.Group]bool
-	vms   map[identifier.Server]*vm
-	loads loadLimit
+	// orphans holds the announced groups of which no head is known, and since
+	// when.
+	orphans map[identifier.Group]time.Time
+	vms     map[identifier.Server]*vm
+	loads   loadLimit
 
 	view  View
 	now   time.Time
@@ -49,6 +55,12 @@
 	openDoubt time.Time
 	// headSilent is when the head was found silent.
 	headSilent time.Time
+	// closed is set once the head has said that it does not serve, headLeft once
+	// it has left the group.
+	closed   bool
+	headLeft bool
+	// left holds the members of an abandoned group that have left.
+	left map[identifier.Server]bool
 	// adopted groups were formed by an earlier holder.
 	adopted bool
 }
@@ -59,9 +71,13 @@
 	pending *Order
 	// nextTry is the earliest time for the next order.
 	nextTry time.Time
-	tries   int
+	// accepted is the last order that was accepted, and acceptedAt when.
+	accepted   Order
+	acceptedAt time.Time
 	// held keeps the server out of new groups until that time.
 	held time.Time
+	// absentAt is when nobody listened at the server's address.
+	absentAt time.Time
 	// staging is the model that is being loaded, and until when at most.
 	staging      string
 	stagingUntil time.Time
@@ -70,16 +86,18 @@
 }
 
 // Begin starts a term of authority. Fence is the number of its orders; first
-// tells that no group can have been formed before.
-func (g *Grouper) Begin(now time.Time, fence uint64, first bool) {
+// tells that no group can have been formed before. Listening is since when the
+// registry has been filled.
+func (g *Grouper) Begin(now time.Time, fence uint64, first bool, listening time.Time) {
 	g.Policy.fill()
-	g.fence, g.formed = fence, 0
-	g.learned = now.Add(g.Policy.Learning)
+	g.fence, g.formed, g.first = fence, 0, first
+	g.learned = listening.Add(g.Policy.Learning)
 	if first {
 		g.learned = now
 	}
 	g.groups = map[identifier.Group]*group{}
 	g.ended = map[identifier.Group]bool{}
+	g.orphans = map[identifier.Group]time.Time{}
 	g.vms = map[identifier.Server]*vm{}
 	g.loads = loadLimit{}
 	g.out, g.notes = nil, nil
@@ -106,6 +124,9 @@
 // Step decides. It returns the orders to send now and what was decided.
 func (g *Grouper) Step(now time.Time, v View) ([]Order, []Note) {
 	g.now, g.view = now, v
+	if len(v.Demand) > 0 {
+		g.first = false
+	}
 	g.noteServers()
 	g.adopt()
 	for _, gr := range g.sorted() {
@@ -115,9 +136,7 @@
 		for _, d := range g.fabrics() {
 			g.form(d)
 		}
-		for _, d := range g.fabrics() {
-			g.stageSpares(d)
-		}
+		g.stageSpares(g.fabrics())
 	}
 	g.forgetEnded()
 	out, notes := g.out, g.notes
@@ -133,17 +152,25 @@
 	}
 	m.pending = nil
 	m.nextTry = now.Add(orderRetry)
+	if outcome == Absent {
+		m.absentAt = now
+	}
 	gr := g.groups[o.Group]
 	switch {
 	case o.Action == Probe:
 		m.nextTry = now
-		if outcome == Unanswered {
+		if outcome == Unanswered || outcome == Absent {
 			m.deadUntil = now.Add(silentHead)
 		}
-	case outcome == Accepted:
-		m.tries = 0
+	case outcome == Accepted || outcome == Done:
+		m.nextTry = now
+		m.accepted, m.acceptedAt = o, now
+		g.noteDone(gr, o, outcome)
 	case o.Action == Open && outcome == Unanswered && gr != nil:
 		gr.openDoubt = now.Add(orderLife)
+	case (o.Action == Close || o.Action == Leave) && outcome == Unfit:
+		// The server is not in that group and epoch.
+		g.noteDone(gr, o, Done)
 	case o.Action == Stage:
 		m.staging = ""
 		m.held = now.Add(holdAfterFailure)
@@ -155,6 +182,19 @@
 	}
 }
 
+// noteDone notes what an order to a group's head has changed for good.
+func (g *Grouper) noteDone(gr *group, o Order, outcome Outcome) {
+	if gr == nil || gr.info.Members[0] != o.Server {
+		return
+	}
+	switch {
+	case o.Action == Close && outcome == Done:
+		gr.closed = true
+	case o.Action == Leave:
+		gr.headLeft = true
+	}
+}
+
 // noteServers brings the Grouper's own records in line with the registry.
 func (g *Grouper) noteServers() {
 	for _, s := range g.view.Registry.All() {
@@ -194,8 +234,11 @@
 		return cmp.Compare(a.Membership.Rank, b.Membership.Rank)
 	})
 	head := members[0]
-	serving := head.Membership.Rank == 0 &&
-		(head.Membership.State == tracker.Open || head.Membership.State == tracker.Closing)
+	if head.Membership.Rank != 0 {
+		g.watchOrphan(id, members)
+		return
+	}
+	serving := (head.Membership.State == tracker.Open || head.Membership.State == tracker.Closing)
 	model, known := g.modelOf(head)
 	whole := known && len(members) == model.Size && g.sameEpoch(members)
 	if !serving && !whole && g.now.Before(g.learned) {
@@ -234,6 +277,23 @@
 	g.note("group taken over", gr)
 }
 
+// watchOrphan handles members that announce a group of which no head is known.
+// The head may serve where the core does not hear it, so the members stay as they
+// are for a while; then they are sent away, and the head breaks by itself.
+func (g *Grouper) watchOrphan(id identifier.Group, members []*tracker.Server) {
+	since, known := g.orphans[id]
+	if !known {
+		g.orphans[id] = g.now
+		return
+	}
+	if g.now.Sub(since) < silentHead || g.now.Before(g.learned) {
+		return
+	}
+	for _, s := range members {
+		g.send(s, Order{Action: Leave, Group: id, Epoch: s.Membership.Epoch, Reason: "no head of its group is known"})
+	}
+}
+
 func (g *Grouper) sameEpoch(members []*tracker.Server) bool {
 	for i, s := range members {
 		if s.Membership.Epoch != members[0].Membership.Epoch || s.Membership.Rank != i {
@@ -272,6 +332,11 @@
 			delete(g.ended, id)
 		}
 	}
+	for id := range g.orphans {
+		if !announced[id] {
+			delete(g.orphans, id)
+		}
+	}
 }
 
 func (g *Grouper) note(text string, gr *group) {
@@ -288,8 +353,11 @@
 		return false
 	}
 	o.Server, o.Address, o.Fence = s.ID, s.Address, g.fence
+	if m.accepted.Action == o.Action && m.accepted.Epoch == o.Epoch && m.accepted.Cut == o.Cut &&
+		m.accepted.Model == o.Model && g.now.Sub(m.acceptedAt) < sameOrderPause {
+		return false
+	}
 	m.pending = &o
-	m.tries++
 	g.out = append(g.out, o)
 	return true
 }
--- a/internal/grouper/life.go
+++ b/internal/grouper/life.go
@@ -32,6 +32,8 @@
 		g.stepEnding(gr)
 	case Leaving:
 		g.stepLeaving(gr)
+	case Abandoned:
+		g.stepAbandoned(gr)
 	}
 }
 
@@ -45,11 +47,19 @@
 		return lost, fmt.Sprintf("%s is not known", id)
 	case s.Born != gr.born[i]:
 		return lost, fmt.Sprintf("%s has restarted", id)
-	case s.Gone:
-		return lost, fmt.Sprintf("%s is gone", id)
-	case g.now.Before(m.deadUntil):
+	case s.Dead:
+		return lost, fmt.Sprintf("another server has the address of %s", id)
+	case i > 0 && g.now.Before(m.deadUntil):
 		return lost, fmt.Sprintf("%s does not answer", id)
-	case gr.info.Phase == Serving && s.Membership.Epoch != gr.info.Epoch:
+	case m.absentAt.After(s.HeardAt):
+		// A cut may answer like that too, so it proves no death.
+		if i == 0 {
+			return quiet, fmt.Sprintf("nobody listens at the address of %s", id)
+		}
+		return lost, fmt.Sprintf("nobody listens at the address of %s", id)
+	case s.Gone:
+		return leaving, fmt.Sprintf("%s leaves", id)
+	case (gr.info.Phase == Serving || gr.info.Phase == Abandoned && i > 0) && s.Membership.Epoch != gr.info.Epoch:
 		return lost, fmt.Sprintf("%s is in epoch %d", id, s.Membership.Epoch)
 	case s.Silent:
 		return quiet, fmt.Sprintf("%s is silent", id)
@@ -187,30 +197,59 @@
 	if gr.headSilent.IsZero() {
 		gr.headSilent = g.now
 	}
+	head, m := g.view.Registry.Get(gr.info.Members[0]), g.vms[gr.info.Members[0]]
 	switch {
 	case doubted && d.AnsweredAgo < g.Policy.Beat:
 		gr.headSilent = g.now
-	case doubted && d.Unreachable >= unreachableTries:
-		g.dissolve(gr, "the head is silent and cannot be reached by requests")
+	case head != nil && m != nil && m.absentAt.After(head.HeardAt):
+		g.abandon(gr, "nobody listens at the head's address")
+	case doubted && d.Unreachable >= unreachableTries && d.AnsweredAgo >= unreachableQuiet:
+		g.abandon(gr, "the head is silent and cannot be reached by requests")
 	case g.now.Sub(gr.headSilent) > silentHead:
-		// Nobody has news of it. Without its members it breaks by itself.
-		g.dissolve(gr, "the head is silent")
-		g.holdMembers(gr, g.Policy.Stall+orderRetry)
+		g.abandon(gr, "the head is silent")
 	}
 }
 
-// holdMembers keeps the members of a group out of others for a while, and sends
-// them away so that a head that still serves breaks.
-func (g *Grouper) holdMembers(gr *group, d time.Duration) {
-	for _, id := range gr.info.Members {
-		s, m := g.view.Registry.Get(id), g.vms[id]
-		if s == nil || m == nil {
+func (g *Grouper) abandon(gr *group, reason string) {
+	gr.info.Phase, gr.info.Reason, gr.since = Abandoned, reason, g.now
+	gr.headSilent = time.Time{}
+	gr.left = map[identifier.Server]bool{}
+	g.note("group is abandoned", gr)
+	g.stepAbandoned(gr)
+}
+
+// stepAbandoned makes the members that are heard leave, each of which is free
+// from then on, until the head is heard again or known to be dead.
+func (g *Grouper) stepAbandoned(gr *group) {
+	headIs, headText := g.examine(gr, 0)
+	if headIs == lost {
+		g.dissolve(gr, headText)
+		return
+	}
+	head := g.view.Registry.Get(gr.info.Members[0])
+	if headIs != quiet {
+		worst, text := g.worst(gr)
+		switch {
+		case head.Membership.Epoch != gr.info.Epoch:
+			g.dissolve(gr, "the head has left")
+		case worst <= leaving && len(gr.left) == 0 && head.Membership.State == tracker.Open:
+			gr.info.Phase, gr.info.Reason = Serving, ""
+			g.note("group is heard again", gr)
+		default:
+			g.end(gr, true, "the head is heard again, but not the whole group: "+text)
+		}
+		return
+	}
+	for i, id := range gr.info.Members {
+		s := g.view.Registry.Get(id)
+		if i == 0 || gr.left[id] || s == nil || s.Silent || s.Gone {
 			continue
 		}
-		m.held = g.now.Add(d)
-		if !s.Silent && !s.Gone {
-			g.send(s, Order{Action: Leave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "its head is silent"})
+		if s.Membership.Epoch != gr.info.Epoch {
+			gr.left[id] = true
+			continue
 		}
+		g.send(s, Order{Action: Leave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: gr.info.Reason})
 	}
 }
 
@@ -234,13 +273,14 @@
 		return
 	}
 	g.hasten(gr)
-	switch head.Membership.State {
-	case tracker.Broken:
+	state := head.Membership.State
+	switch {
+	case state == tracker.Broken:
 		g.dissolve(gr, gr.info.Reason)
 		return
-	case tracker.Ready, tracker.Joining:
+	case gr.closed, state == tracker.Ready, state == tracker.Joining:
 		if g.now.Before(gr.openDoubt) {
-			gr.info.Phase = Leaving
+			gr.info.Phase, gr.since = Leaving, g.now
 			g.stepLeaving(gr)
 			return
 		}
@@ -249,10 +289,10 @@
 		}
 		return
 	}
-	if headIs == quiet {
+	if headIs == quiet || head.Gone {
 		d, doubted := g.view.Doubts[head.ID]
 		g.stepSilentHead(gr, d, doubted)
-		if g.groups[gr.info.ID] == nil {
+		if gr.info.Phase != Ending {
 			return
 		}
 	}
@@ -286,13 +326,12 @@
 func (g *Grouper) stepLeaving(gr *group) {
 	headIs, _ := g.examine(gr, 0)
 	head := g.view.Registry.Get(gr.info.Members[0])
-	if headIs == lost || head.Membership.Epoch != gr.info.Epoch {
+	if headIs == lost || gr.headLeft || head.Membership.Epoch != gr.info.Epoch {
 		g.dissolve(gr, gr.info.Reason)
 		return
 	}
-	if headIs == quiet && g.now.Sub(gr.since) > silentHead {
-		g.dissolve(gr, gr.info.Reason)
-		g.holdMembers(gr, g.Policy.Stall+orderRetry)
+	if (headIs == quiet || head.Gone) && g.now.Sub(gr.since) > silentHead {
+		g.abandon(gr, gr.info.Reason)
 		return
 	}
 	g.send(head, Order{Action: Leave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "its open order may be late"})
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -67,14 +67,18 @@
 const (
 	// Unanswered orders may have been carried out or may yet be.
 	Unanswered Outcome = iota
-	// Accepted orders have begun or are done.
+	// Accepted orders have begun.
 	Accepted
+	// Done orders have taken effect, or the state was already so.
+	Done
 	// Unfit orders do not match the server's state.
 	Unfit
 	// Fenced orders carried a fencing number or an epoch that was too low.
 	Fenced
 	// Misdirected orders reached another server.
 	Misdirected
+	// Absent means that nobody listens at the address.
+	Absent
 )
 
 // String returns the outcome in lower case.
@@ -82,6 +86,10 @@
 	switch o {
 	case Accepted:
 		return "accepted"
+	case Done:
+		return "done"
+	case Absent:
+		return "absent"
 	case Unfit:
 		return "unfit"
 	case Fenced:
@@ -128,6 +136,9 @@
 	Ending Phase = "ending"
 	// Leaving groups wait for the head to leave.
 	Leaving Phase = "leaving"
+	// Abandoned groups have a head that nobody has news of. It may be dead or
+	// serve behind a cut, so its members leave before they are used again.
+	Abandoned Phase = "abandoned"
 )
 
 // Info describes a group for logs and dumps.
@@ -193,6 +204,12 @@
 	loadWindow = 5 * time.Second
 	// silentHead is how long a head that nobody has news of is waited for.
 	silentHead = 8 * time.Second
+	// unreachableQuiet is how long no front must have had an answer of a silent
+	// head that cannot be reached.
+	unreachableQuiet = 2500 * time.Millisecond
+	// sameOrderPause is the pause before the same order is sent again after it
+	// was accepted: its effect is announced meanwhile.
+	sameOrderPause = 1500 * time.Millisecond
 )
 
 func (p *Policy) fill() {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -58,8 +58,11 @@
 	Staged     []string
 	Models     []string
 	Membership Membership
-	// Gone is set once the server said that it leaves.
+	// Gone is set once the server said that it leaves; it may serve for a while
+	// yet.
 	Gone bool
+	// Dead is set once a later server has announced the same address.
+	Dead bool
 	// Silent is set while nothing was heard for longer than the bound.
 	Silent bool
 	// HeardAt is when the server was heard last by any process.
@@ -172,7 +175,7 @@
 	switch {
 	case s.Born < old.Born:
 		return false
-	case s.Born == old.Born && old.Gone:
+	case s.Born == old.Born && old.Gone && !s.Gone:
 		// One that left does not come back in the same life.
 		return false
 	case s.Born == old.Born && s.Sequence < old.Sequence && !s.Gone:
@@ -181,7 +184,7 @@
 	if s.HeardAt.Before(old.HeardAt) {
 		s.HeardAt = old.HeardAt
 	}
-	s.Silent = false
+	s.Silent, s.Dead = false, s.Born == old.Born && old.Dead
 	changed = old.Silent || !s.sameAs(old)
 	*old = s
 	if changed {
@@ -198,8 +201,8 @@
 	}
 	for _, e := range g.servers {
 		o := &e.server
-		if o.ID != s.ID && o.Address == s.Address && !o.Gone && o.Born < s.Born {
-			o.Gone = true
+		if o.ID != s.ID && o.Address == s.Address && !o.Dead && o.Born < s.Born {
+			o.Gone, o.Dead = true, true
 			g.touch(e)
 		}
 	}
