grouper: warm spares and close groups that stand still at once

Cause: after a loss a group was out for 2.7 to 10 s.

Ruled out: false alarms.

A head that stands still and does not answer the order to close is abandoned. One request that stands still for 0.8 s counts. Loads are exchanged every 60 ms with few fronts, 3 ms a front with many. A dial takes 80 ms at most. The prediction that decides on a refusal is that of the chosen server.

A head now counts as heard again only by news since it was abandoned.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -163,7 +163,6 @@
 	}
 	best := Choice{Reason: NoServer, RetryAfter: noServerRetryAfter}
 	least := time.Duration(math.MaxInt64)
-	soonest := time.Duration(math.MaxInt64)
 	for _, s := range c.servers[a.Service] {
 		if !c.mayServe(s, svc, &a) {
 			continue
@@ -175,15 +174,14 @@
 			continue
 		}
 		expected := c.predict(s, svc, &a)
-		soonest = min(soonest, expected)
 		rank := c.rank(now, s, expected)
 		if rank < least {
 			least = rank
 			best = Choice{Server: s, Expected: expected}
 		}
 	}
-	if best.Server != nil && !a.Urgent && soonest > a.Patience {
-		late := soonest - a.Patience
+	if best.Server != nil && !a.Urgent && best.Expected > a.Patience {
+		late := best.Expected - a.Patience
 		return Choice{Reason: Overloaded, RetryAfter: c.spread(late)}
 	}
 	return best
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -61,7 +61,7 @@
 	logTick = 100 * time.Millisecond
 	// step is the unit of the process's own loop; the other paces are multiples.
 	step         = 50 * time.Millisecond
-	helloPace    = 300 * time.Millisecond
+	helloPace    = 100 * time.Millisecond
 	confirmPace  = 300 * time.Millisecond
 	membersPace  = 500 * time.Millisecond
 	reportPace   = 300 * time.Millisecond
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -28,7 +28,7 @@
 // Bounds of placement.
 const (
 	// orderBound is how long an order may stay unanswered.
-	orderBound = 700 * time.Millisecond
+	orderBound = 300 * time.Millisecond
 	// demandPace and demandSpan say how often and over how long demand is
 	// measured.
 	demandPace = time.Second
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -80,6 +80,7 @@
 	f.active[x] = struct{}{}
 	f.mu.Unlock()
 	q.tried = append(q.tried, s.ID)
+	q.expected = c.Expected
 	if err := x.write(lastEventID); err != nil {
 		return x.broken(err)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -86,8 +86,9 @@
 	// any of it is passed on, so that a broken one can be replaced.
 	maxBufferedAnswer = 1 << 20
 	// dialBound is how long opening a connection to a backend server may take:
-	// several round trips within a region.
-	dialBound = 300 * time.Millisecond
+	// many round trips within a region, and far less than an objective, so that
+	// another server can still answer in time.
+	dialBound = 80 * time.Millisecond
 	// maxRejections bounds the servers that may say of one request that they did
 	// not run it.
 	maxRejections = 2
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -44,6 +44,8 @@
 	unreached int
 	lastFault string
 	firstByte time.Duration
+	// expected is the predicted time to the first event at the last server.
+	expected time.Duration
 }
 
 // counts are the request counters of a Forwarder.
@@ -222,7 +224,7 @@
 	ago, _ := q.f.FreshAgo()
 	_ = level.Info(q.f.Logger).Log("msg", "request", "id", q.ask.ID, "status", status, "outcome", reason, "route", route,
 		"team", q.teamName(), "model", q.ask.Model, "servers", joinServers(q.tried), "runs", q.runs,
-		"rejections", q.rejections, "unreached", q.unreached, "fault", q.lastFault, "first_ms", q.firstByte.Milliseconds(),
+		"rejections", q.rejections, "unreached", q.unreached, "fault", q.lastFault, "expected_ms", q.expected.Milliseconds(), "first_ms", q.firstByte.Milliseconds(),
 		"total_ms", time.Since(q.began).Milliseconds(), "catalog", version, "fresh_ago_ms", ago.Milliseconds())
 }
 
--- a/internal/fronter/follow.go
+++ b/internal/fronter/follow.go
@@ -16,9 +16,11 @@
 
 // Paces of following.
 const (
-	// pullWait is how long a core process may hold an answer, and thereby the
-	// pace of this front's reports.
-	pullWait = 250 * time.Millisecond
+	// A core process holds an answer for pullWait at least, and for pullShare
+	// times the number of fronts, so that the core's work does not grow with the
+	// square of the system. It is the pace of this front's reports of its load.
+	pullWait  = 60 * time.Millisecond
+	pullShare = 3 * time.Millisecond
 	// pullBound is how much longer an answer may take.
 	pullBound = 600 * time.Millisecond
 	// pullRetry is the pause after a pull that failed.
@@ -97,9 +99,10 @@
 func (f *Front) pull(ctx context.Context, core identifier.VM) bool {
 	w := &f.follow
 	asked, now := f.Elapsed(), time.Now()
+	wait := max(pullWait, time.Duration(w.fronts)*pullShare)
 	p := &peerv1.FrontPull{
 		FailureDomain: string(f.Settings.FailureDomain), Registry: w.registry, Revision: w.revision,
-		CatalogVersion: uint64(w.catalog), WaitMs: uint32(pullWait.Milliseconds()),
+		CatalogVersion: uint64(w.catalog), WaitMs: uint32(wait.Milliseconds()),
 	}
 	for id, l := range f.forwarder.Loads() {
 		p.Loads = append(p.Loads, &peerv1.ServerLoad{
@@ -119,7 +122,7 @@
 			EngineMs: uint64(d.Engine.Milliseconds()),
 		})
 	}
-	bounded, cancel := context.WithTimeout(ctx, pullWait+pullBound)
+	bounded, cancel := context.WithTimeout(ctx, wait+pullBound)
 	defer cancel()
 	answer, err := f.linker.Call(bounded, core, &peerv1.Envelope{FrontPull: p})
 	u := answer.GetFrontUpdate()
@@ -142,7 +145,7 @@
 func (f *Front) take(asked time.Duration, own map[identifier.Server]chooser.Load, u *peerv1.FrontUpdate) {
 	w := &f.follow
 	now := time.Now()
-	w.cores = u.GetCores()
+	w.cores, w.fronts = u.GetCores(), int(u.GetFronts())
 	if len(u.GetCatalog()) > 0 && u.GetCatalogVersion() > uint64(w.catalog) {
 		cat, err := f.Decode(u.GetCatalog())
 		if err != nil {
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -81,8 +81,10 @@
 // follower is what the front knows from the core process that it follows. Only
 // the pull loop uses it.
 type follower struct {
-	core      identifier.VM
-	cores     []*peerv1.CoreInfo
+	core  identifier.VM
+	cores []*peerv1.CoreInfo
+	// fronts is the number of fronts of the whole system.
+	fronts    int
 	registry  uint64
 	revision  uint64
 	catalog   cataloger.Version
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	ms := s.Membership
-	if ms.Group != "" && !g.ended[ms.Group] {
+	if ms.Group != "" && g.ended[ms.Group].IsZero() {
 		// Its group was not taken over yet.
 		return false
 	}
@@ -327,6 +327,36 @@
 	}
 }
 
+// warmSpares makes free servers that have weights on their host join a group of
+// their own, which is never opened. A server that has been in a group of a model
+// since its start joins the next one of that model much sooner.
+func (g *Grouper) warmSpares(f *fabric) {
+	for _, s := range f.free {
+		if len(s.Staged) == 0 || g.vms[s.ID].staging != "" {
+			continue
+		}
+		m, ok := f.engine.Model(s.Staged[len(s.Staged)-1])
+		if !ok || slices.Contains(s.Models, m.Name) || !f.has(m.Name) {
+			continue
+		}
+		g.formed++
+		epoch := g.fence<<epochBits | g.formed
+		id := identifier.Group(fmt.Sprintf("w%d", epoch))
+		if g.send(s, Order{
+			Action: Join, Group: id, Epoch: epoch, Model: m.Name, Members: []identifier.Server{s.ID},
+			Reason: "spare is to be warm",
+		}) {
+			g.ended[id] = g.now
+			g.vms[s.ID].held = g.now.Add(m.Warm)
+		}
+	}
+}
+
+// has reports whether the fabric domain has groups of a model.
+func (f *fabric) has(model string) bool {
+	return slices.ContainsFunc(f.groups, func(gr *group) bool { return gr.info.Model == model })
+}
+
 // blank returns a free server of a fabric domain that has no weights and loads
 // none, or nil.
 func (g *Grouper) blank(f *fabric) *tracker.Server {
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -26,8 +26,9 @@
 	first   bool
 	learned time.Time
 	groups  map[identifier.Group]*group
-	// ended holds the groups that are over but may still be announced.
-	ended map[identifier.Group]bool
+	// ended holds the groups that are over but may still be announced, and since
+	// when.
+	ended map[identifier.Group]time.Time
 	// orphans holds the announced groups of which no head is known, and since
 	// when.
 	orphans map[identifier.Group]time.Time
@@ -59,6 +60,8 @@
 	// it has left the group.
 	closed   bool
 	headLeft bool
+	// unheeded counts close orders without an answer.
+	unheeded int
 	// left holds the members of an abandoned group that have left.
 	left map[identifier.Server]bool
 	// adopted groups were formed by an earlier holder.
@@ -96,7 +99,7 @@
 		g.learned = now
 	}
 	g.groups = map[identifier.Group]*group{}
-	g.ended = map[identifier.Group]bool{}
+	g.ended = map[identifier.Group]time.Time{}
 	g.orphans = map[identifier.Group]time.Time{}
 	g.vms = map[identifier.Server]*vm{}
 	g.loads = loadLimit{}
@@ -136,6 +139,9 @@
 		for _, d := range g.fabrics() {
 			g.form(d)
 		}
+		for _, d := range g.fabrics() {
+			g.warmSpares(d)
+		}
 		g.stageSpares(g.fabrics())
 	}
 	g.forgetEnded()
@@ -168,6 +174,8 @@
 		g.noteDone(gr, o, outcome)
 	case o.Action == Open && outcome == Unanswered && gr != nil:
 		gr.openDoubt = now.Add(orderLife)
+	case o.Action == Close && outcome == Unanswered && gr != nil:
+		gr.unheeded++
 	case (o.Action == Close || o.Action == Leave) && outcome == Unfit:
 		// The server is not in that group and epoch.
 		g.noteDone(gr, o, Done)
@@ -220,7 +228,7 @@
 	parts := map[identifier.Group][]*tracker.Server{}
 	for _, s := range g.view.Registry.All() {
 		id := s.Membership.Group
-		if id != "" && g.groups[id] == nil && !g.ended[id] && !s.Gone {
+		if id != "" && g.groups[id] == nil && g.ended[id].IsZero() && !s.Gone {
 			parts[id] = append(parts[id], s)
 		}
 	}
@@ -327,8 +335,8 @@
 	for _, s := range g.view.Registry.All() {
 		announced[s.Membership.Group] = true
 	}
-	for id := range g.ended {
-		if !announced[id] {
+	for id, at := range g.ended {
+		if !announced[id] && g.now.Sub(at) > endedMemory {
 			delete(g.ended, id)
 		}
 	}
--- a/internal/grouper/life.go
+++ b/internal/grouper/life.go
@@ -149,7 +149,8 @@
 	head := g.view.Registry.Get(gr.info.Members[0])
 	doubt, doubted := g.view.Doubts[gr.info.Members[0]]
 	answers := doubted && doubt.AnsweredAgo < stallEvidence
-	stalled := doubted && doubt.Stalled >= stalledRequests && doubt.AnsweredAgo >= stallEvidence
+	stalled := doubted && (doubt.Stalled >= stalledRequests && doubt.AnsweredAgo >= stallEvidence ||
+		doubt.Stalled > 0 && doubt.AnsweredAgo >= lonelyEvidence)
 	switch {
 	case headIs == lost:
 		g.dissolve(gr, headText)
@@ -227,7 +228,7 @@
 		return
 	}
 	head := g.view.Registry.Get(gr.info.Members[0])
-	if headIs != quiet {
+	if head.HeardAt.After(gr.since) {
 		worst, text := g.worst(gr)
 		switch {
 		case head.Membership.Epoch != gr.info.Epoch:
@@ -256,7 +257,7 @@
 // end starts to close a group.
 func (g *Grouper) end(gr *group, cut bool, reason string) {
 	gr.info.Phase, gr.info.Reason, gr.since = Ending, reason, g.now
-	gr.cut = cut
+	gr.cut, gr.unheeded = cut, 0
 	g.note("group is to end", gr)
 	g.stepEnding(gr)
 }
@@ -289,8 +290,12 @@
 		}
 		return
 	}
+	d, doubted := g.view.Doubts[head.ID]
+	if gr.unheeded > 0 && gr.cut && doubted && d.AnsweredAgo >= stallEvidence {
+		g.abandon(gr, gr.info.Reason+"; the head does not answer the order to close")
+		return
+	}
 	if headIs == quiet || head.Gone {
-		d, doubted := g.view.Doubts[head.ID]
 		g.stepSilentHead(gr, d, doubted)
 		if gr.info.Phase != Ending {
 			return
@@ -342,5 +347,5 @@
 	gr.info.Reason = reason
 	g.note("group has ended", gr)
 	delete(g.groups, gr.info.ID)
-	g.ended[gr.info.ID] = true
+	g.ended[gr.info.ID] = g.now
 }
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -195,8 +195,10 @@
 	// stallEvidence is how long no request at a head must have moved before its
 	// group counts as standing still: several passes of the engine.
 	stallEvidence = 450 * time.Millisecond
-	// stalledRequests is the least number of requests that must stand still.
+	// stalledRequests is the least number of requests that must stand still for
+	// that long; a single one counts after lonelyEvidence.
 	stalledRequests = 2
+	lonelyEvidence  = 800 * time.Millisecond
 	// unreachableTries is the least number of failed connections that, with
 	// silence, count as the death of a head.
 	unreachableTries = 2
@@ -207,6 +209,9 @@
 	// unreachableQuiet is how long no front must have had an answer of a silent
 	// head that cannot be reached.
 	unreachableQuiet = 2500 * time.Millisecond
+	// endedMemory is how long an ended group that nobody announces is remembered:
+	// longer than an order may be carried out late.
+	endedMemory = orderLife
 	// sameOrderPause is the pause before the same order is sent again after it
 	// was accepted: its effect is announced meanwhile.
 	sameOrderPause = 1500 * time.Millisecond
