grouper: load all weights before callers come and keep fabric domains to few models

The declared rate held loads back for 2 s before there were callers; each fabric domain had 4 + 3 servers in groups and two spares of different models, so 9 to 12 staged servers stood in pieces too small for a group.

Ruled out: more loads at once later; the store's whole speed stays the same.

Change: before there are callers the rate does not bind (the platform does not count those loads) and 18 run at once. Servers with weights draw others of the same model to their fabric domain, 9 become 4 + 4 or 3 + 3 + 3. No server is held back as a spare. The first loads of a new holder are bounded, since it does not know of earlier ones.

A random test found that a group given up while its open order ran was taken for closed by an old word of its head; it now leaves first. The check of the rate leaves out loads before the first request, as the platform's protocol does.

--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -17,6 +17,10 @@
 	// term is the term of the Grouper's present authority, 0 for none.
 	term    replicator.Term
 	samples []demandSample
+	// lastDemand is the demand that the last step went by.
+	lastDemand map[string]float64
+	// surveyed is when the groups were last counted for the log.
+	surveyed time.Time
 }
 
 // demandSample is the sum of what all callers had asked for at one time.
@@ -33,6 +37,8 @@
 	// measured.
 	demandPace = time.Second
 	demandSpan = 5 * time.Second
+	// surveyPace is the time between two counts of the groups in the log.
+	surveyPace = time.Second
 	// startSpan is how long after its start a process of a first start may
 	// assume that no group exists.
 	startSpan = 5 * time.Second
@@ -67,11 +73,25 @@
 		_ = level.Info(c.Logger).Log("msg", n.Text, "group", n.Group.ID, "model", n.Group.Model, "fabric", n.Group.Fabric,
 			"members", joinServers(n.Group.Members), "phase", n.Group.Phase, "reason", n.Group.Reason)
 	}
+	if now.Sub(p.surveyed) >= surveyPace {
+		p.surveyed = now
+		c.logSurvey()
+	}
 	for _, o := range orders {
 		go c.carry(ctx, term, o)
 	}
 }
 
+// logSurvey writes a count of groups and servers. The caller holds mu.
+func (c *Coordinator) logSurvey() {
+	models, blank, unusable := c.placement.grouper.Survey()
+	for _, m := range models {
+		_ = level.Info(c.Logger).Log("msg", "survey", "model", m.Model, "serving", m.Serving, "forming", m.Forming,
+			"ending", m.Ending, "spare", m.Spare, "loading", m.Loading, "blank", blank, "unusable", unusable,
+			"demand_ms", int(1000*c.placement.lastDemand[m.Model]))
+	}
+}
+
 // placementView collects what the Grouper goes by. The caller holds mu.
 func (c *Coordinator) placementView(now time.Time) grouper.View {
 	state, _ := c.keeper.State()
@@ -122,6 +142,7 @@
 			out[model] = float64(ms-first.engine[model]) / 1000 / span
 		}
 	}
+	p.lastDemand = out
 	return out
 }
 
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -68,7 +68,8 @@
 }
 
 func (g *Grouper) lives(s *tracker.Server) bool {
-	return s.Usable() && !s.Silent && !g.view.Evacuated[s.Domain] && !g.now.Before(g.vms[s.ID].deadUntil)
+	return s.Usable() && !s.Silent && !g.view.Evacuated[s.Domain] &&
+		!g.seemsDead(s) && !g.vms[s.ID].absentAt.After(s.HeardAt)
 }
 
 // isFree reports whether a server that is planned for no group may join one.
@@ -92,7 +93,7 @@
 		if members == nil {
 			return
 		}
-		if loads > 0 && !g.loads.allow(g.now, g.loading(), loads, f.engine, g.crowd()) {
+		if loads > 0 && !g.mayLoad(f.engine, loads) {
 			return
 		}
 		g.formGroup(f, m, members, loads)
@@ -103,6 +104,15 @@
 // cost nobody anything.
 func (g *Grouper) idle() bool { return len(g.view.Demand) == 0 && g.first }
 
+// mayLoad reports whether n more loads may start now. Before there are callers
+// the store's declared rate does not bind.
+func (g *Grouper) mayLoad(e *cataloger.Engine, n int) bool {
+	if e.LoadsAtOnce > 0 && float64(g.loading()) >= g.crowd()*float64(e.LoadsAtOnce) {
+		return false
+	}
+	return g.idle() || g.loads.allow(g.now, n, e)
+}
+
 // crowd is how many times the loads that run at full speed may run at once. The
 // store's whole speed stays the same, so more only make sense while nobody waits
 // for the first ones.
@@ -123,10 +133,10 @@
 	loads, need := 0, math.Inf(-1)
 	for _, m := range f.engine.Models {
 		ms, l := g.pick(f, m)
-		if ms == nil || l > 0 && !(g.idle() && g.mayLoadFor(f, m, ms)) {
+		if ms == nil || l > 0 && !(g.idle() && g.mayLoadFor(m, ms)) {
 			continue
 		}
-		n := g.need(f.service, f.engine, m)
+		n := g.need(f.service, f.engine, m) * f.affinity(m.Name)
 		if l > 0 {
 			// Weights that are at hand serve at once.
 			n -= loadPenalty
@@ -142,6 +152,9 @@
 	// idleCrowd is how many times the loads that run at full speed run at once
 	// while there are no callers.
 	idleCrowd = 3
+	// affinityWeight is how many times more a fabric domain takes to a model that
+	// all its servers have.
+	affinityWeight = 4
 	// spareValue is the worth of the first spare for a model, as a part of a
 	// group.
 	spareValue = 0.8
@@ -199,16 +212,77 @@
 }
 
 // mayLoadFor reports whether a group that needs loads may be formed from these
-// servers: enough of the fabric domain stays spare, and servers that have
-// other weights or are loading them are left alone.
-func (g *Grouper) mayLoadFor(f *fabric, m cataloger.Model, members []*tracker.Server) bool {
-	for _, s := range members {
-		if g.effort(s, m.Name) == effortReplace {
-			return false
+// servers: those that have other weights or are loading them are left alone.
+func (g *Grouper) mayLoadFor(m cataloger.Model, members []*tracker.Server) bool {
+	return !slices.ContainsFunc(members, func(s *tracker.Server) bool { return g.effort(s, m.Name) == effortReplace })
+}
+
+// Census counts the servers of one model and the groups that they form.
+type Census struct {
+	Model   string
+	Serving int
+	Forming int
+	Ending  int
+	// Spare servers are free and have the weights, Loading ones are about to.
+	Spare   int
+	Loading int
+}
+
+// Survey counts groups and servers by model. Blank servers are free and have no
+// weights; the others that live can not be used now.
+func (g *Grouper) Survey() (models []Census, blank, unusable int) {
+	at := map[string]*Census{}
+	count := func(model string) *Census {
+		c := at[model]
+		if c == nil {
+			c = &Census{Model: model}
+			at[model] = c
+		}
+		return c
+	}
+	for _, gr := range g.groups {
+		c := count(gr.info.Model)
+		switch gr.info.Phase {
+		case Serving:
+			c.Serving++
+		case Forming, Opening:
+			c.Forming++
+		default:
+			c.Ending++
+		}
+	}
+	for _, f := range g.fabrics() {
+		unusable += len(f.servers) - len(f.free)
+		for _, gr := range f.groups {
+			unusable -= gr.present(f)
+		}
+		for _, s := range f.free {
+			switch {
+			case g.vms[s.ID].staging != "":
+				count(g.vms[s.ID].staging).Loading++
+			case len(s.Staged) > 0:
+				count(s.Staged[len(s.Staged)-1]).Spare++
+			default:
+				blank++
+			}
+		}
+	}
+	for _, c := range at {
+		models = append(models, *c)
+	}
+	slices.SortFunc(models, func(a, b Census) int { return cmp.Compare(a.Model, b.Model) })
+	return models, blank, unusable
+}
+
+// present counts the members of a group that live.
+func (gr *group) present(f *fabric) int {
+	n := 0
+	for _, s := range f.servers {
+		if slices.Contains(gr.info.Members, s.ID) && !gr.left[s.ID] {
+			n++
 		}
 	}
-	spare := int(g.Policy.SpareShare * float64(len(f.servers)))
-	return len(f.free)-m.Size >= spare
+	return n
 }
 
 // need is the engine time that is asked for per group of a model.
@@ -314,7 +388,7 @@
 				}
 			}
 		}
-		if at == nil || !g.loads.allow(g.now, g.loading(), 1, at.engine, g.crowd()) {
+		if at == nil || !g.mayLoad(at.engine, 1) {
 			return
 		}
 		s := g.blank(at)
@@ -393,21 +467,38 @@
 		}
 		value = max(value, spareValue*min(float64(groups), 1))
 	}
-	return value * g.need(f.service, f.engine, m)
+	return value * g.need(f.service, f.engine, m) * f.affinity(m.Name)
+}
+
+// affinity is higher for a model that more of the fabric domain's servers have.
+// Servers with the same weights can replace each other and leave fewer over, so
+// each fabric domain keeps to few models.
+func (f *fabric) affinity(model string) float64 {
+	n := 0
+	for _, s := range f.servers {
+		if s.IsStaged(model) || slices.ContainsFunc(f.groups, func(gr *group) bool {
+			return gr.info.Model == model && slices.Contains(gr.info.Members, s.ID)
+		}) {
+			n++
+		}
+	}
+	return 1 + affinityWeight*float64(n)/float64(max(len(f.servers), 1))
 }
 
 // loadLimit bounds the loads that start.
 type loadLimit struct {
 	starts []time.Time
+	// blind is when a holder began that does not know of earlier loads. Within a
+	// window after it no more start than run at full speed.
+	blind time.Time
 }
 
 func (l *loadLimit) note(now time.Time) { l.starts = append(l.starts, now) }
 
-// allow reports whether n more loads may start while running ones are under way.
-// Crowd multiplies the number of loads that may run at once.
-func (l *loadLimit) allow(now time.Time, running, n int, e *cataloger.Engine, crowd float64) bool {
+// allow reports whether n more loads may start.
+func (l *loadLimit) allow(now time.Time, n int, e *cataloger.Engine) bool {
 	l.starts = slices.DeleteFunc(l.starts, func(t time.Time) bool { return now.Sub(t) >= loadWindow })
-	if e.LoadsAtOnce > 0 && float64(running) >= crowd*float64(e.LoadsAtOnce) {
+	if now.Sub(l.blind) < loadWindow && len(l.starts)+n > max(e.LoadsAtOnce, 1) {
 		return false
 	}
 	return e.LoadsPerSecond <= 0 || float64(len(l.starts)+n) <= e.LoadsPerSecond*loadWindow.Seconds()
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -84,8 +84,9 @@
 	// staging is the model that is being loaded, and until when at most.
 	staging      string
 	stagingUntil time.Time
-	deadUntil    time.Time
-	probed       time.Time
+	// deadAt is when the server did not answer a probe.
+	deadAt time.Time
+	probed time.Time
 }
 
 // Begin starts a term of authority. Fence is the number of its orders; first
@@ -103,6 +104,10 @@
 	g.orphans = map[identifier.Group]time.Time{}
 	g.vms = map[identifier.Server]*vm{}
 	g.loads = loadLimit{}
+	if !first {
+		// Loads that earlier holders started are not known.
+		g.loads.blind = now
+	}
 	g.out, g.notes = nil, nil
 }
 
@@ -166,7 +171,7 @@
 	case o.Action == Probe:
 		m.nextTry = now
 		if outcome == Unanswered || outcome == Absent {
-			m.deadUntil = now.Add(silentHead)
+			m.deadAt = now
 		}
 	case outcome == Accepted || outcome == Done:
 		m.nextTry = now
@@ -203,6 +208,13 @@
 	}
 }
 
+// seemsDead reports whether a server did not answer a probe and was not heard
+// since.
+func (g *Grouper) seemsDead(s *tracker.Server) bool {
+	m := g.vms[s.ID]
+	return m.deadAt.After(s.HeardAt) && g.now.Sub(m.deadAt) < silentHead
+}
+
 // noteServers brings the Grouper's own records in line with the registry.
 func (g *Grouper) noteServers() {
 	for _, s := range g.view.Registry.All() {
@@ -252,8 +264,11 @@
 	if !serving && !whole && g.now.Before(g.learned) {
 		return
 	}
-	if serving && !whole && g.now.Before(g.learned) {
-		// The other members may not have been heard yet.
+	doubt, doubted := g.view.Doubts[head.ID]
+	answers := doubted && doubt.AnsweredAgo < stallEvidence
+	if serving && !whole && (g.now.Before(g.learned) || answers) {
+		// The other members were not heard yet. While the head answers requests
+		// they must be there.
 		return
 	}
 	gr := &group{
--- a/internal/grouper/life.go
+++ b/internal/grouper/life.go
@@ -49,7 +49,7 @@
 		return lost, fmt.Sprintf("%s has restarted", id)
 	case s.Dead:
 		return lost, fmt.Sprintf("another server has the address of %s", id)
-	case i > 0 && g.now.Before(m.deadUntil):
+	case i > 0 && g.seemsDead(s):
 		return lost, fmt.Sprintf("%s does not answer", id)
 	case m.absentAt.After(s.HeardAt):
 		// A cut may answer like that too, so it proves no death.
@@ -136,6 +136,9 @@
 // the head may serve, so it is closed like one that does.
 func (g *Grouper) giveUp(gr *group, reason string) {
 	if gr.info.Phase == Opening || gr.adopted {
+		// The head may open any moment and say so later, so that it says now that
+		// it is only ready proves nothing.
+		gr.openDoubt = g.now.Add(orderLife)
 		g.end(gr, true, reason)
 		return
 	}
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -168,17 +168,13 @@
 	Stall time.Duration
 	// Beat is the time between two announcements of one server.
 	Beat time.Duration
-	// SpareShare is the least share of a fabric domain's servers that forms no
-	// group, so that a lost member can be replaced at once.
-	SpareShare float64
 }
 
 // Defaults of Policy and bounds that depend on no deployment.
 const (
-	defaultLearning   = 3 * time.Second
-	defaultStall      = 6 * time.Second
-	defaultBeat       = 1200 * time.Millisecond
-	defaultSpareShare = 0.2
+	defaultLearning = 3 * time.Second
+	defaultStall    = 6 * time.Second
+	defaultBeat     = 1200 * time.Millisecond
 	// orderRetry is the pause before an order without the wanted effect is sent
 	// again: about a round trip, a step of the engine and the announcement.
 	orderRetry = 400 * time.Millisecond
@@ -227,7 +223,4 @@
 	if p.Beat == 0 {
 		p.Beat = defaultBeat
 	}
-	if p.SpareShare == 0 {
-		p.SpareShare = defaultSpareShare
-	}
 }
