grouper: plan the groups of all sizes before forming any

Cause: on the grown sites one model takes 16 servers and one 4. Once it had groups, each lost one member every 20 s and stood for a load of 16 s, with 44 servers that had its weights idle in sets of 15. Cold servers got 27 requests in a second where 26 were allowed: all 79 fronts began their share at the same moment.

Ruled out: waiting for more servers in each domain alone; the small model's need is larger at each single step.

Change: every step plans the groups of all unbound servers by need, largest first, and forms only what is planned. At a first start all servers are heard before the plan. Each front begins its share of a cold server at a random phase.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -32,6 +32,9 @@
 	// request may come back.
 	leastRetryAfter = 200 * time.Millisecond
 	mostRetryAfter  = 2 * time.Second
+	// coldSlack is by how much a server's statements of the end of one cold start
+	// may differ.
+	coldSlack = time.Second
 	// noServerRetryAfter is that time when nobody serves the model.
 	noServerRetryAfter = 500 * time.Millisecond
 )
@@ -80,8 +83,10 @@
 	unreachable   int
 	failures      int
 	suspectUntil  time.Time
-	// nextCold is the earliest time of the next request to a cold server.
-	nextCold time.Time
+	// nextCold is the earliest time of the next request to a cold server, and
+	// coldUntil the end of the cold start that it was set for.
+	nextCold  time.Time
+	coldUntil time.Time
 }
 
 // Chooser holds what one front knows. Exported fields are set before use, but
@@ -204,7 +209,17 @@
 // coldAllows reports whether a cold server's share of this front allows one more
 // request now.
 func (c *Chooser) coldAllows(now time.Time, s *tracker.Server, svc *cataloger.Service) bool {
-	return svc.ColdPerSecond <= 0 || !s.Cold(now) || !now.Before(c.at(s.ID).nextCold)
+	if svc.ColdPerSecond <= 0 || !s.Cold(now) {
+		return true
+	}
+	w := c.at(s.ID)
+	if s.ColdUntil.Sub(w.coldUntil) > coldSlack {
+		// All fronts see it turn cold at the same time, so each begins at another.
+		phase := time.Duration(c.Rand.Int64N(int64(c.coldPace(svc))))
+		w.nextCold = now.Add(phase)
+	}
+	w.coldUntil = s.ColdUntil
+	return !now.Before(w.nextCold)
 }
 
 // coldPace is the time between two requests of this front to a cold server.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -97,7 +97,9 @@
 	g.fence, g.formed, g.first = fence, 0, first
 	g.learned = listening.Add(g.Policy.Learning)
 	if first {
-		g.learned = now
+		// Within one heartbeat every server is heard, so that groups of all sizes
+		// find their servers.
+		g.learned = now.Add(g.Policy.Beat)
 	}
 	g.groups = map[identifier.Group]*group{}
 	g.ended = map[identifier.Group]time.Time{}
@@ -141,13 +143,17 @@
 		g.stepGroup(gr)
 	}
 	if !now.Before(g.learned) {
-		for _, d := range g.fabrics() {
-			g.form(d)
+		fs := g.fabrics()
+		g.plan(fs)
+		for _, f := range fs {
+			g.form(f)
 		}
-		for _, d := range g.fabrics() {
-			g.warmSpares(d)
+		fs = g.fabrics()
+		g.plan(fs)
+		for _, f := range fs {
+			g.warmSpares(f)
 		}
-		g.stageSpares(g.fabrics())
+		g.stageSpares(fs)
 	}
 	g.forgetEnded()
 	out, notes := g.out, g.notes
