--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,111 @@
+package keeper
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// TestMain makes plain runs repeat: rapid draws a new seed otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestHighestVersionWins compares a Keeper with a plain model over any order of
+// commands, repeated and overtaken ones included, and over snapshots.
+func TestHighestVersionWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := &Keeper{}
+		var version cataloger.Version
+		var data string
+		out := map[identifier.FailureDomain]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "commands") {
+			var c Command
+			d := identifier.FailureDomain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"))
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0, 1:
+				v := cataloger.Version(rapid.IntRange(1, 9).Draw(t, "version"))
+				text := rapid.StringN(1, 5, -1).Draw(t, "data")
+				c.Publish = &Publish{Version: v, Data: []byte(text)}
+				if v > version {
+					version, data = v, text
+				}
+			case 2:
+				c.Evacuate = d
+				out[d] = true
+			case 3:
+				c.Return = d
+				delete(out, d)
+			}
+			b, err := c.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if msg := k.Apply(b); msg != nil {
+				t.Fatalf("refused: %s", msg)
+			}
+			if rapid.Bool().Draw(t, "restart") {
+				other := &Keeper{}
+				if err := other.Restore(k.Freeze()()); err != nil {
+					t.Fatal(err)
+				}
+				k = other
+			}
+			check(t, k, version, data, out)
+		}
+	})
+}
+
+func check(t *rapid.T, k *Keeper, v cataloger.Version, data string, out map[identifier.FailureDomain]bool) {
+	s, _ := k.State()
+	got := map[identifier.FailureDomain]bool{}
+	for _, d := range s.Evacuated {
+		got[d] = true
+	}
+	if s.Version != v || string(s.Data) != data || !reflect.DeepEqual(got, out) {
+		t.Fatalf("got version %d %q, out %v; want %d %q, %v", s.Version, s.Data, got, v, data, out)
+	}
+}
+
+func TestChangeIsSignalled(t *testing.T) {
+	k := &Keeper{}
+	_, changed := k.State()
+	b, err := Command{Evacuate: "a"}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.Apply(b)
+	select {
+	case <-changed:
+	default:
+		t.Error("a change was not signalled")
+	}
+	_, changed = k.State()
+	k.Apply(b)
+	select {
+	case <-changed:
+		t.Error("a repeated command was signalled as a change")
+	default:
+	}
+}
+
+func TestUnreadableCommandIsSkipped(t *testing.T) {
+	k := &Keeper{}
+	if msg := k.Apply([]byte{0xff}); msg == nil {
+		t.Error("an unreadable command was taken")
+	}
+}
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,133 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+var start = time.Unix(1000, 0)
+
+func server(id string, born, sequence uint64) Server {
+	return Server{
+		ID: identifier.Server(id), Service: "llm", Address: id + ":1", Domain: "z", Born: born, Sequence: sequence,
+		HeardAt: start,
+	}
+}
+
+func TestLateAnnouncementsAreDropped(t *testing.T) {
+	g := &Registry{Silence: time.Second}
+	s := server("a", 10, 5)
+	if !g.Hear(s) {
+		t.Fatal("the first announcement changed nothing")
+	}
+	old := server("a", 10, 4)
+	old.Draining = true
+	if g.Hear(old) || g.Get("a").Draining {
+		t.Error("an announcement that was overtaken was taken")
+	}
+	earlier := server("a", 9, 99)
+	if g.Hear(earlier) {
+		t.Error("an announcement of an earlier life was taken")
+	}
+	again := server("a", 11, 1)
+	if !g.Hear(again) || g.Get("a").Sequence != 1 {
+		t.Error("a new life under the same id was not taken")
+	}
+}
+
+func TestRepeatedAnnouncementIsNoChange(t *testing.T) {
+	g := &Registry{Silence: time.Second}
+	g.Hear(server("a", 10, 5))
+	r := g.Revision()
+	next := server("a", 10, 6)
+	next.HeardAt = start.Add(time.Second)
+	if g.Hear(next) || g.Revision() != r {
+		t.Error("the same state counted as a change")
+	}
+	if !g.Get("a").HeardAt.Equal(next.HeardAt) {
+		t.Error("the time of the last announcement was not noted")
+	}
+}
+
+func TestLeaverStaysGone(t *testing.T) {
+	g := &Registry{Silence: time.Second}
+	g.Hear(server("a", 10, 5))
+	if !g.Leave(start, "a", 10) {
+		t.Fatal("the leave changed nothing")
+	}
+	g.Hear(server("a", 10, 6))
+	if !g.Get("a").Gone {
+		t.Error("a heartbeat that was held up brought a server back")
+	}
+	g.Hear(server("a", 20, 1))
+	if g.Get("a").Gone {
+		t.Error("a new life is taken for gone")
+	}
+	if g.Leave(start, "a", 10) {
+		t.Error("a late leave of an earlier life ended a later one")
+	}
+}
+
+func TestAddressIsTakenOver(t *testing.T) {
+	g := &Registry{Silence: time.Second}
+	old := server("a", 10, 5)
+	g.Hear(old)
+	later := server("b", 20, 1)
+	later.Address = old.Address
+	g.Hear(later)
+	if a := g.Get("a"); !a.Gone || !a.Dead {
+		t.Error("a server whose address another one has is not dead")
+	}
+	// A heartbeat of the dead one that was held up by a cut.
+	old.Sequence = 6
+	g.Hear(old)
+	if g.Get("a").Usable() || !g.Get("b").Usable() {
+		t.Error("a late heartbeat took the address back")
+	}
+}
+
+func TestSilence(t *testing.T) {
+	g := &Registry{Silence: 3 * time.Second}
+	g.Hear(server("a", 10, 5))
+	if ids := g.Sweep(start.Add(3 * time.Second)); len(ids) != 0 {
+		t.Errorf("%v are silent too soon", ids)
+	}
+	if ids := g.Sweep(start.Add(3100 * time.Millisecond)); len(ids) != 1 {
+		t.Errorf("silent are %v", ids)
+	}
+	back := server("a", 10, 6)
+	back.HeardAt = start.Add(4 * time.Second)
+	if !g.Hear(back) || g.Get("a").Silent {
+		t.Error("a server that was heard again is still silent")
+	}
+}
+
+func TestSinceGivesWhatChanged(t *testing.T) {
+	g := &Registry{Silence: time.Second}
+	g.Hear(server("a", 10, 5))
+	r := g.Revision()
+	g.Hear(server("b", 10, 5))
+	if got := g.Since(r); len(got) != 1 || got[0].ID != "b" {
+		t.Errorf("changed since: %v", got)
+	}
+	if got := g.Since(0); len(got) != 2 {
+		t.Errorf("all: %v", got)
+	}
+}
+
+func TestColdEndMovesLittle(t *testing.T) {
+	g := &Registry{Silence: time.Second}
+	s := server("a", 10, 5)
+	s.ColdUntil = start.Add(3 * time.Second)
+	g.Hear(s)
+	s.Sequence, s.ColdUntil = 6, start.Add(3200*time.Millisecond)
+	if g.Hear(s) {
+		t.Error("the delay of a heartbeat counted as a change")
+	}
+	s.Sequence, s.ColdUntil = 7, start.Add(8*time.Second)
+	if !g.Hear(s) {
+		t.Error("a server that turned cold again was not noted")
+	}
+}
