coordinator: draw other election limits in each process

Cause: a test that restarts all core processes at one moment failed in 2 of 60 runs. All processes had the same seed, drew the same limits and split the votes up to 15 times, which took 20 s. In the field the seed is the time of the start, which processes that restart together may share.

Change: the address is part of the seed of core processes and fronts.

The network in memory is a package now, piper.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/zeebo/errs"
@@ -144,7 +145,10 @@
 	set := &c.Settings
 	c.started = time.Now()
 	c.self = identifier.VM(set.PeerAddress)
-	c.random = rand.New(rand.NewPCG(c.Seed, uint64(len(set.VM))))
+	// Processes that start at the same moment must not draw the same election
+	// limits, or they split the votes again and again.
+	own := xxhash.Sum64String(set.PeerAddress)
+	c.random = rand.New(rand.NewPCG(c.Seed, own))
 	c.registryID = c.random.Uint64() >> 1
 	c.registry.Silence = time.Duration(silenceBeats * float64(set.Bounds.Heartbeat()))
 	c.changed = make(chan struct{})
@@ -168,7 +172,7 @@
 	c.driver = &driver.Driver{
 		Name: logName, VM: c.self, Voters: seeds, Machine: &c.keeper, Sender: logSender{c.linker}, Logger: c.Logger,
 		Journal: &journaler.Journal{Files: journaler.Folder(filepath.Join(set.DataFolder, logName))},
-		Tick:    logTick, KeepCommit: true, Rand: rand.New(rand.NewPCG(c.Seed, 1)), Start: start,
+		Tick:    logTick, KeepCommit: true, Rand: rand.New(rand.NewPCG(c.Seed, own+1)), Start: start,
 		SnapshotEvery: snapshotEvery, Trailing: trailing,
 	}
 	c.driver.Init()
--- a/internal/fronter/follow.go
+++ b/internal/fronter/follow.go
@@ -11,6 +11,7 @@
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
 
@@ -190,5 +191,34 @@
 	w.registry, w.revision, w.evacuated = u.GetRegistry(), u.GetRevision(), evacuated
 	if changed {
 		f.forwarder.SetServers(w.servers.All(), evacuated)
+		f.publish()
 	}
 }
+
+// Known is what a front goes by, for dumps and tests.
+type Known struct {
+	Core      identifier.VM
+	Catalog   cataloger.Version
+	Evacuated []identifier.FailureDomain
+	Servers   []*tracker.Server
+	Fronts    int
+}
+
+// publish makes what was learned visible to other goroutines.
+func (f *Front) publish() {
+	w := &f.follow
+	k := &Known{Core: w.core, Catalog: w.catalog, Servers: w.servers.All(), Fronts: w.fronts}
+	for d := range w.evacuated {
+		k.Evacuated = append(k.Evacuated, d)
+	}
+	slices.Sort(k.Evacuated)
+	f.known.Store(k)
+}
+
+// Known returns what the front goes by.
+func (f *Front) Known() Known {
+	if k := f.known.Load(); k != nil {
+		return *k
+	}
+	return Known{}
+}
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/zeebo/errs"
@@ -72,6 +73,8 @@
 	// served is set once a full update has come.
 	served atomic.Bool
 
+	known atomic.Pointer[Known]
+
 	mu    sync.Mutex
 	seeds []identifier.VM
 
@@ -99,7 +102,9 @@
 	set := &f.Settings
 	b := &set.Bounds
 	f.self = identifier.VM(set.PeerAddress)
-	f.random = rand.New(rand.NewPCG(f.Seed, uint64(len(set.VM))))
+	// Fronts that start at the same moment must not choose alike.
+	own := xxhash.Sum64String(set.PeerAddress)
+	f.random = rand.New(rand.NewPCG(f.Seed, own))
 	f.seeds = coordinator.SeedPeers(set)
 	f.follow.avoid = map[identifier.VM]time.Time{}
 	f.linker = &linker.Linker{
@@ -114,7 +119,7 @@
 		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow(),
 	}
 	f.forwarder.Init(&chooser.Chooser{
-		Domain: set.FailureDomain, Rand: rand.New(rand.NewPCG(f.Seed, 2)), Fronts: 1,
+		Domain: set.FailureDomain, Rand: rand.New(rand.NewPCG(f.Seed, own+1)), Fronts: 1,
 		ColdStretch: b.ColdOvershoot, ColdSlack: b.ColdSlack,
 	})
 }
--- a/internal/server/pipes_test.go
+++ b/internal/piper/piper.go
@@ -1,4 +1,8 @@
-package server
+// Package piper is a network in memory, for tests on a paused clock.
+//
+// Hosts can be cut off from each other: their connections stay open and go silent
+// for good, and new ones are not answered until the cut ends.
+package piper
 
 import (
 	"bytes"
@@ -9,13 +13,12 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// pipes is a Network in memory. Hosts can be cut off from each other: their
-// connections stay open and go silent for good, and new ones are not answered
-// until the cut ends.
-type pipes struct {
+// Network holds the hosts and their connections.
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	// hosts maps an address to the host that listens on it.
@@ -24,55 +27,59 @@
 	conns map[*pipeConn]bool
 }
 
-func newPipes() *pipes {
-	return &pipes{
+// New returns an empty Network.
+func New() *Network {
+	return &Network{
 		listeners: map[string]*pipeListener{}, hosts: map[string]string{}, cut: map[[2]string]bool{},
 		conns: map[*pipeConn]bool{},
 	}
 }
 
-// host is one machine's view of the network.
-type host struct {
-	net  *pipes
-	name string
+// Host is one machine's view of the network.
+type Host struct {
+	Net  *Network
+	Name string
 }
 
-// Listen implements Network.
-func (h host) Listen(_ context.Context, _, address string) (net.Listener, error) {
-	h.net.mu.Lock()
-	defer h.net.mu.Unlock()
-	l := &pipeListener{net: h.net, address: address, incoming: make(chan net.Conn), closed: make(chan struct{})}
-	h.net.listeners[address] = l
-	h.net.hosts[address] = h.name
+// Listen opens a listener of the host.
+func (h Host) Listen(_ context.Context, _, address string) (net.Listener, error) {
+	h.Net.mu.Lock()
+	defer h.Net.mu.Unlock()
+	l := &pipeListener{net: h.Net, address: address, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	h.Net.listeners[address] = l
+	h.Net.hosts[address] = h.Name
 	return l, nil
 }
 
-// DialContext implements Network.
-func (h host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	h.net.mu.Lock()
-	l, to := h.net.listeners[address], h.net.hosts[address]
-	isCut := h.net.cut[[2]string{h.name, to}]
-	h.net.mu.Unlock()
+// DialContext opens a connection from the host.
+func (h Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	h.Net.mu.Lock()
+	l, to := h.Net.listeners[address], h.Net.hosts[address]
+	isCut := h.Net.cut[[2]string{h.Name, to}]
+	h.Net.mu.Unlock()
 	if isCut {
 		const dialBound = 3 * time.Second
-		pause(ctx, dialBound)
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialBound):
+		}
 		return nil, errors.New("the dial timed out")
 	}
 	if l == nil {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
-	near, far := h.net.connect(h.name, to)
+	near, far := h.Net.connect(h.Name, to)
 	select {
 	case l.incoming <- far:
 		return near, nil
 	case <-l.closed:
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
-func (p *pipes) connect(a, b string) (near, far *pipeConn) {
+func (p *Network) connect(a, b string) (near, far *pipeConn) {
 	there, back := newPipeBuffer(), newPipeBuffer()
 	near = &pipeConn{net: p, from: a, to: b, in: back, out: there}
 	far = &pipeConn{net: p, from: b, to: a, in: there, out: back}
@@ -82,9 +89,9 @@
 	return near, far
 }
 
-// setCut cuts two hosts off from each other, or ends the cut. Connections that
+// SetCut cuts two hosts off from each other, or ends the cut. Connections that
 // were open stay silent.
-func (p *pipes) setCut(a, b string, cut bool) {
+func (p *Network) SetCut(a, b string, cut bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cut[[2]string{a, b}], p.cut[[2]string{b, a}] = cut, cut
@@ -93,9 +100,8 @@
 	}
 }
 
-// silence makes the open connections between two hosts silent for good, while
-// new ones work.
-func (p *pipes) silence(a, b string) {
+// silence silences the connections between two hosts. The caller holds mu.
+func (p *Network) silence(a, b string) {
 	for c := range p.conns {
 		if c.from == a && c.to == b || c.from == b && c.to == a {
 			c.silent.Store(true)
@@ -103,14 +109,16 @@
 	}
 }
 
-func (p *pipes) loseTrack(a, b string) {
+// LoseTrack makes the open connections between two hosts silent for good, while
+// new ones work.
+func (p *Network) LoseTrack(a, b string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.silence(a, b)
 }
 
-// kill closes all that a host has open, as the end of its process does.
-func (p *pipes) kill(name string) {
+// Kill closes all that a host has open, as the end of its process does.
+func (p *Network) Kill(name string) {
 	p.mu.Lock()
 	var conns []*pipeConn
 	for c := range p.conns {
@@ -130,7 +138,7 @@
 }
 
 type pipeListener struct {
-	net      *pipes
+	net      *Network
 	address  string
 	incoming chan net.Conn
 	closed   chan struct{}
@@ -229,7 +237,7 @@
 
 // pipeConn is one end of a connection.
 type pipeConn struct {
-	net      *pipes
+	net      *Network
 	from, to string
 	in, out  *pipeBuffer
 	silent   atomic.Bool
--- a/internal/server/spread_test.go
+++ b/internal/server/spread_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/piper"
+
 	"github.com/go-kit/log"
 
 	"trefoilhead.org/trefoilhead/internal/configurer"
@@ -24,7 +26,7 @@
 // takes changes from a log, the others from their peers.
 func newLearners(t *testing.T, n int) []*Server {
 	t.Helper()
-	net := newPipes()
+	net := piper.New()
 	var peers []configurer.Peer
 	addresses := map[identifier.VM]string{}
 	for i := range n {
@@ -36,7 +38,7 @@
 	for i, p := range peers {
 		s := &Server{Settings: configurer.Settings{VM: p.VM, FailureDomain: "d", Peers: peers}, Logger: log.NewNopLogger()}
 		s.Settings.FillDefaults()
-		h := host{net, string(p.VM)}
+		h := piper.Host{Net: net, Name: string(p.VM)}
 		s.random = &lockedRand{r: rand.New(rand.NewPCG(uint64(i), 1))}
 		s.locator = &locator.Locator{VM: p.VM, Domain: "d"}
 		s.linker = &linker.Linker{
--- a/internal/server/system_test.go
+++ b/internal/server/system_test.go
@@ -138,7 +138,7 @@
 func TestMemberLost(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
 		w.backends["engine-a-1"].server.SetFaults(emulator.Faults{Paused: true})
-		w.net.kill("engine-a-1")
+		w.net.Kill("engine-a-1")
 		time.Sleep(detectionBound)
 		before := w.backends["engine-a-2"].server.Runs()
 		for range 20 {
@@ -243,7 +243,7 @@
 			t.Errorf("the cut-off domain says %v, error %v", get, err)
 		}
 		w.drain("b", true)
-		w.net.kill("engine-c-1")
+		w.net.Kill("engine-c-1")
 		w.backends["engine-c-1"].server.SetFaults(emulator.Faults{Paused: true})
 		time.Sleep(detectionBound)
 		w.eventually(time.Minute, "the cut-off domain rebuilds its group", func() bool { return w.groupsOf("c") == 2 })
@@ -268,7 +268,7 @@
 			w.checkWhole(w.chat("entry-a-1"))
 		}
 		for other := range w.hosts(func(identifier.FailureDomain) bool { return true }) {
-			w.net.loseTrack("entry-a-1", other)
+			w.net.LoseTrack("entry-a-1", other)
 		}
 		for range 5 {
 			w.checkTruthful(w.chat("entry-a-1"))
--- a/internal/server/world_test.go
+++ b/internal/server/world_test.go
@@ -16,6 +16,8 @@
 	"testing/synctest"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/piper"
+
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 
@@ -44,7 +46,7 @@
 // failure domains with entries, engines and a booking server each.
 type world struct {
 	t        *testing.T
-	net      *pipes
+	net      *piper.Network
 	folder   string
 	entries  map[string]*worldEntry
 	backends map[string]*worldBackend
@@ -74,9 +76,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			t: t, cold: 4, net: newPipes(), folder: t.TempDir(), entries: map[string]*worldEntry{}, backends: map[string]*worldBackend{},
+			t: t, cold: 4, net: piper.New(), folder: t.TempDir(), entries: map[string]*worldEntry{}, backends: map[string]*worldBackend{},
 		}
-		transport := &http.Transport{DialContext: host{w.net, callerHost}.DialContext, DisableKeepAlives: true}
+		transport := &http.Transport{DialContext: piper.Host{Net: w.net, Name: callerHost}.DialContext, DisableKeepAlives: true}
 		w.client = &http.Client{Transport: transport}
 		w.start(entries)
 		time.Sleep(time.Second)
@@ -126,7 +128,7 @@
 	e := &worldEntry{settings: set, stop: stop, done: make(chan error, 1)}
 	e.server = &Server{
 		Settings: set, Logger: testLogger(vm), Incarnation: identifier.Incarnation(time.Now().UnixNano()),
-		Seed: uint64(len(w.entries)), Network: host{w.net, vm},
+		Seed: uint64(len(w.entries)), Network: piper.Host{Net: w.net, Name: vm},
 	}
 	w.entries[vm] = e
 	go func() {
@@ -137,7 +139,7 @@
 
 func (w *world) startBackend(vm string, d identifier.FailureDomain, kind string) {
 	address := vm + ":9000"
-	network := host{w.net, vm}
+	network := piper.Host{Net: w.net, Name: vm}
 	transport := &http.Transport{DialContext: network.DialContext, DisableKeepAlives: true}
 	s := &emulator.Server{
 		Announced: &trefoilheadv1.BackendServer{
@@ -178,7 +180,7 @@
 
 // stopHard ends an entry without the graceful part of its shutdown.
 func (w *world) stopHard(e *worldEntry) {
-	w.net.kill(string(e.settings.VM))
+	w.net.Kill(string(e.settings.VM))
 	e.server.Settings.Timing.Shutdown = time.Millisecond
 	e.stop()
 	if err := <-e.done; err != nil {
@@ -193,7 +195,7 @@
 func (w *world) cutDomain(d identifier.FailureDomain, cut bool) {
 	for a := range w.hosts(func(x identifier.FailureDomain) bool { return x == d }) {
 		for b := range w.hosts(func(x identifier.FailureDomain) bool { return x != d }) {
-			w.net.setCut(a, b, cut)
+			w.net.SetCut(a, b, cut)
 		}
 	}
 }
