forwarder: test every way in which a server fails

Backend servers on a network in memory write their answers byte by byte on a paused clock: rejections, torn heads and bodies, answers of other requests, silence, streams that break off.

--- /dev/null
+++ b/internal/forwarder/backend_test.go
@@ -0,0 +1,265 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/chooser"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/piper"
+	"trefoilhead.org/trefoilhead/internal/pooler"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// testDialect uses plain header names.
+type testDialect struct{}
+
+func (testDialect) ReadAsk(h http.Header) Ask {
+	ms, _ := strconv.Atoi(h.Get("Deadline"))
+	return Ask{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), Deadline: time.Duration(ms) * time.Millisecond}
+}
+
+func (testDialect) WriteHandoff(h http.Header, o Handoff) {
+	h.Del("Key")
+	h.Set("Team", string(o.Team))
+	h.Set("Expect", string(o.Server))
+	h.Set("Deadline", strconv.FormatInt(o.Left.Milliseconds(), 10))
+	if o.LastEventID != "" {
+		h.Set("Last", o.LastEventID)
+	}
+}
+
+func (testDialect) ReadStamp(h http.Header) Stamp {
+	return Stamp{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// backend is a backend server whose answers a test writes byte by byte.
+type backend struct {
+	name string
+	// answer serves one request; it reports whether the connection goes on.
+	answer func(w net.Conn, r *http.Request) bool
+
+	mu   sync.Mutex
+	seen []string
+}
+
+func (b *backend) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			br := bufio.NewReader(c)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				b.mu.Lock()
+				b.seen = append(b.seen, r.Header.Get("Id")+r.Header.Get("Last"))
+				b.mu.Unlock()
+				if !b.answer(c, r) {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func (b *backend) got() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.seen)
+}
+
+// whole writes a signed answer.
+func whole(body string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
+		return err == nil
+	}
+}
+
+// raw writes bytes as they are, with ID for the request's id, and ends the
+// connection.
+func raw(text string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = c.Write([]byte(strings.ReplaceAll(text, "ID", r.Header.Get("Id"))))
+		return false
+	}
+}
+
+const notRun = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+// events writes a stream of events from..to and ends it properly, or leaves it
+// torn.
+func events(from, to int, torn bool) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		for i := from; i <= to; i++ {
+			text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+			time.Sleep(50 * time.Millisecond)
+		}
+		if torn {
+			_, _ = fmt.Fprint(c, "9\r\nid: 99\nda\r\n")
+			return false
+		}
+		_, _ = fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+}
+
+// world is a Forwarder with backend servers on a network in memory. The servers
+// are chosen in the order of their names.
+type world struct {
+	*Forwarder
+	t        *testing.T
+	net      *piper.Network
+	backends map[string]*backend
+	fresh    time.Duration
+	began    time.Time
+	closers  []func() error
+}
+
+func inWorld(t *testing.T, backends map[string]func(net.Conn, *http.Request) bool, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, net: piper.New(), backends: map[string]*backend{}, began: time.Now()}
+		here := piper.Host{Net: w.net, Name: "front"}
+		w.Forwarder = &Forwarder{
+			Dialect: testDialect{}, Logger: log.NewNopLogger(),
+			Pool: &pooler.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				return here.DialContext(ctx, "tcp", address)
+			}},
+			Elapsed: func() time.Duration { return time.Since(w.began) + time.Minute }, Revocation: 5 * time.Second,
+			RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		}
+		w.Init(&chooser.Chooser{Domain: "z", Rand: rand.New(rand.NewPCG(1, 2)), Fronts: 1})
+		w.SetCatalog(testCatalog(t))
+		w.SetFresh(w.Elapsed())
+		var servers []*tracker.Server
+		for name, answer := range backends {
+			b := &backend{name: name, answer: answer}
+			w.backends[name] = b
+			l, err := piper.Host{Net: w.net, Name: name}.Listen(context.Background(), "tcp", name+":1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.closers = append(w.closers, l.Close)
+			go b.serve(l)
+			domain := identifier.FailureDomain("z")
+			if name != "first" {
+				// The first server is preferred by its failure domain.
+				domain = "other"
+			}
+			servers = append(servers, &tracker.Server{
+				ID: identifier.Server(name), Service: "svc", Address: name + ":1", Domain: domain, Slots: 4, Born: 1, HeardAt: time.Now(),
+			})
+		}
+		w.SetServers(servers, nil)
+		ctx, stop := context.WithCancel(context.Background())
+		go w.sweep(ctx)
+		test(w)
+		stop()
+		for _, c := range w.closers {
+			_ = c()
+		}
+		for name := range w.backends {
+			w.net.Kill(name)
+		}
+		w.net.Kill("front")
+		synctest.Wait()
+	})
+}
+
+func (w *world) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.Sweep(time.Now())
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func testCatalog(t *testing.T) *cataloger.Catalog {
+	t.Helper()
+	route := func(name string, k cataloger.Kind) cataloger.Route {
+		return cataloger.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: k, Timeout: 3 * time.Second, Objective: 200 * time.Millisecond,
+			GapObjective: 200 * time.Millisecond, Targets: []cataloger.Target{{Service: "svc", Weight: 1}}, MaxAttempts: 2,
+			Public: name != "keyed", Resumable: k == cataloger.Stream,
+		}
+	}
+	c := &cataloger.Catalog{
+		Version: 1, Services: []cataloger.Service{{Name: "svc"}},
+		Routes: []cataloger.Route{
+			route("once", cataloger.Once), route("any", cataloger.Idempotent), route("stream", cataloger.Stream),
+			route("keyed", cataloger.Once),
+		},
+		Teams:  []cataloger.Team{{Name: "team", Keys: []string{"k"}}},
+		Limits: cataloger.Limits{HeaderBytes: 2000, BodyBytes: 100},
+	}
+	if err := c.Index(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// answer is what a caller got. Cut tells that it must not take it for whole.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	cut    bool
+}
+
+// call sends a request and waits for its end.
+func (w *world) call(ctx context.Context, method, target, body string, header ...string) answer {
+	r := httptest.NewRequest(method, "http://h"+target, strings.NewReader(body)).WithContext(ctx)
+	r.RequestURI = target
+	r.Header.Set("Id", "q1")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	rec := httptest.NewRecorder()
+	a := answer{}
+	func() {
+		defer func() {
+			if p := recover(); p != nil {
+				if p != http.ErrAbortHandler { //nolint:errorlint // the value of a panic
+					panic(p)
+				}
+				a.cut = true
+			}
+		}()
+		w.ServeHTTP(rec, r)
+	}()
+	a.status, a.body, a.header = rec.Code, rec.Body.String(), rec.Header()
+	return a
+}
+
+// silent takes a request and answers nothing.
+func silent(c net.Conn, _ *http.Request) bool {
+	// Returns when the other end has closed the connection.
+	_, _ = c.Read(make([]byte, 1))
+	return false
+}
