grouper: plan once arrivals have ended

Cause: servers announce themselves over 3 s at a first start. The plan was made after 1.2 s with a third of them known, so models of 16 and of 4 shared fabric domains, none of which kept spares for the large groups.

Change: a first start waits until no new server has come for 0.4 s, three heartbeats at most. The groups that a fabric domain has count like planned ones when models keep apart.

--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -25,6 +25,8 @@
 	// has come.
 	first   bool
 	learned time.Time
+	// arrivalsEnd is until when a first start waits for more servers.
+	arrivalsEnd time.Time
 	groups  map[identifier.Group]*group
 	// ended holds the groups that are over but may still be announced, and since
 	// when.
@@ -97,9 +99,10 @@
 	g.fence, g.formed, g.first = fence, 0, first
 	g.learned = listening.Add(g.Policy.Learning)
 	if first {
-		// Within one heartbeat every server is heard, so that groups of all sizes
-		// find their servers.
+		// Until no more servers announce themselves, so that groups of all sizes
+		// find theirs.
 		g.learned = now.Add(g.Policy.Beat)
+		g.arrivalsEnd = now.Add(arrivalBeats * g.Policy.Beat)
 	}
 	g.groups = map[identifier.Group]*group{}
 	g.ended = map[identifier.Group]time.Time{}
@@ -227,6 +230,9 @@
 		m := g.vms[s.ID]
 		if m == nil || m.born != s.Born {
 			g.vms[s.ID] = &vm{born: s.Born}
+			if g.first && g.now.Before(g.arrivalsEnd) && g.learned.Before(g.now.Add(arrivalPause)) {
+				g.learned = g.now.Add(arrivalPause)
+			}
 			continue
 		}
 		if m.staging != "" && (s.IsStaged(m.staging) || g.now.After(m.stagingUntil)) {
--- a/internal/grouper/plan.go
+++ b/internal/grouper/plan.go
@@ -72,13 +72,16 @@
 		if !ok || g.robsSpares(f, rooms[i], m) {
 			continue
 		}
-		others := 0
-		for model, n := range f.planned {
-			if model != m.Name {
+		own, others := 0, 0
+		for _, o := range f.engine.Models {
+			n := f.planned[o.Name] + f.count(o.Name)
+			if o.Name == m.Name {
+				own = n
+			} else {
 				others += n
 			}
 		}
-		score := -float64(loads)*loadCost + f.affinity(m.Name)*(1+float64(f.planned[m.Name]))/(1+float64(others))
+		score := -float64(loads)*loadCost + f.affinity(m.Name)*float64(1+own)/float64(1+others)
 		if score > best {
 			at, best = i, score
 		}
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -198,6 +198,11 @@
 	// unreachableTries is the least number of failed connections that, with
 	// silence, count as the death of a head.
 	unreachableTries = 2
+	// arrivalPause is how long no new server must have announced itself at a first
+	// start before groups are planned, and arrivalBeats bounds the wait, in
+	// heartbeats.
+	arrivalPause = 400 * time.Millisecond
+	arrivalBeats = 3
 	// loadWindow is the span over which loads from the store are counted.
 	loadWindow = 5 * time.Second
 	// silentHead is how long a head that nobody has news of is waited for.
