logger: write logs without holding up the work, and show metrics

Cause: logs went straight to the output, so a slow reader would have stopped requests; the two roles showed no counters.

Change: lines go through a queue of 1 MiB; what does not fit is left out and counted, in the log and as a metric. Fronts show requests by outcome, repeats, and histograms of the first event and of whole answers; core processes show the log, servers, open groups, orders by outcome and their time. /dump gives the state of a process.

--- a/cmd/trefoilhead/node.go
+++ b/cmd/trefoilhead/node.go
@@ -12,10 +12,12 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rcrowley/go-metrics"
 
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/coordinator"
 	"trefoilhead.org/trefoilhead/internal/fronter"
+	"trefoilhead.org/trefoilhead/internal/logger"
 	"trefoilhead.org/trefoilhead/internal/reloader"
 	"trefoilhead.org/trefoilhead/internal/server"
 	"trefoilhead.org/trefoilhead/internal/timekeeper"
@@ -37,7 +39,7 @@
 
 func newNode(
 	name, help string, role configurer.Role,
-	run func(ctx context.Context, file string, set configurer.Node, logger log.Logger) error,
+	run func(ctx context.Context, file string, set configurer.Node, l log.Logger, shown metrics.Registry) error,
 ) *ffcli.Command {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	file := fs.String("settings", name+".yaml", "settings file")
@@ -53,58 +55,62 @@
 			if *logLevel != "" {
 				set.Logs.Level = *logLevel
 			}
-			return run(ctx, *file, set, newNodeLogger(set.Logs.Level))
+			w := &logger.Writer{Out: os.Stdout}
+			defer w.Close()
+			shown := metrics.NewRegistry()
+			metrics.NewRegisteredFunctionalGauge("log_lines_omitted", shown, w.Omitted)
+			return run(ctx, *file, set, newNodeLogger(w, set.Logs.Level), shown)
 		},
 	}
 }
 
 // newNodeLogger writes to standard output, where the platform takes logs.
-func newNodeLogger(lowest string) log.Logger {
-	l := log.NewLogfmtLogger(log.NewSyncWriter(os.Stdout))
+func newNodeLogger(w *logger.Writer, lowest string) log.Logger {
+	l := log.NewLogfmtLogger(w)
 	l = log.With(l, "time", log.DefaultTimestampUTC)
 	return level.NewFilter(l, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
 }
 
-func runFront(ctx context.Context, file string, set configurer.Node, logger log.Logger) error {
+func runFront(ctx context.Context, file string, set configurer.Node, l log.Logger, shown metrics.Registry) error {
 	f := &fronter.Front{
-		Settings: set, Logger: logger, Network: server.NewNetwork(nodeSilence), Dialect: platform.Dialect{},
+		Settings: set, Logger: l, Network: server.NewNetwork(nodeSilence), Dialect: platform.Dialect{}, Metrics: shown,
 		Decode: platform.DecodeCatalog, Elapsed: timekeeper.Elapsed, Seed: uint64(time.Now().UnixNano()),
 	}
 	f.Readiness = platform.NewReadiness(f.Ready)
 	f.Init()
-	go watchSettings(ctx, file, configurer.Front, logger, f.SetSeeds)
+	go watchSettings(ctx, file, configurer.Front, l, f.SetSeeds)
 	return f.Run(ctx)
 }
 
-func runCore(ctx context.Context, file string, set configurer.Node, logger log.Logger) error {
+func runCore(ctx context.Context, file string, set configurer.Node, l log.Logger, shown metrics.Registry) error {
 	network := server.NewNetwork(nodeSilence)
 	c := &coordinator.Coordinator{
-		Settings: set, Logger: logger, Network: network, Decode: platform.DecodeCatalog,
+		Settings: set, Logger: l, Network: network, Metrics: shown, Decode: platform.DecodeCatalog,
 		Elapsed: timekeeper.Elapsed, Seed: uint64(time.Now().UnixNano()),
 		Engines: &platform.Engines{
-			Logger: logger,
+			Logger: l,
 			Client: &http.Client{Transport: &http.Transport{
 				DialContext: network.DialContext, DisableCompression: true, IdleConnTimeout: time.Second,
 			}},
 		},
 	}
-	c.Handler = platform.NewControl(c, logger)
+	c.Handler = platform.NewControl(c, l)
 	c.Init()
-	go watchSettings(ctx, file, configurer.Core, logger, c.SetSeeds)
+	go watchSettings(ctx, file, configurer.Core, l, c.SetSeeds)
 	return c.Run(ctx)
 }
 
 // watchSettings takes over what may change while a process runs.
-func watchSettings(ctx context.Context, file string, role configurer.Role, logger log.Logger, apply func(*configurer.Node)) {
+func watchSettings(ctx context.Context, file string, role configurer.Role, l log.Logger, apply func(*configurer.Node)) {
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	reloader.Watch(ctx, file, hups, func() {
 		set, err := configurer.LoadNode(file, role)
 		if err != nil {
-			_ = level.Error(logger).Log("msg", "changed settings are not taken", "err", err)
+			_ = level.Error(l).Log("msg", "changed settings are not taken", "err", err)
 			return
 		}
 		apply(&set)
-		_ = level.Info(logger).Log("msg", "settings were read again", "seeds", len(set.Seeds))
+		_ = level.Info(l).Log("msg", "settings were read again", "seeds", len(set.Seeds))
 	})
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -22,11 +22,13 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/driver"
+	"trefoilhead.org/trefoilhead/internal/exposer"
 	"trefoilhead.org/trefoilhead/internal/grouper"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/journaler"
@@ -107,6 +109,8 @@
 	Decode func(data []byte) (*cataloger.Catalog, error)
 	// Handler serves operators and backend servers on the control address.
 	Handler http.Handler
+	// Metrics takes the counters of the process.
+	Metrics metrics.Registry
 	// Elapsed is a clock that goes on during suspensions.
 	Elapsed func() time.Duration
 	Seed    uint64
@@ -137,6 +141,9 @@
 
 	confirmed confirmation
 	placement placement
+
+	orders    map[grouper.Outcome]metrics.Counter
+	orderTime metrics.Histogram
 }
 
 // Init prepares the process so that Handler may be called. It is called before
@@ -176,6 +183,7 @@
 		SnapshotEvery: snapshotEvery, Trailing: trailing,
 	}
 	c.driver.Init()
+	c.initMetrics()
 }
 
 // seedPeers turns the seeds' control addresses into peers.
@@ -213,12 +221,18 @@
 		"seeds", strings.Join(c.Settings.Seeds, ","), "first_start", c.Settings.FirstStart)
 	peers := http.NewServeMux()
 	peers.Handle(linker.Path, c.linker)
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var wg sync.WaitGroup
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{c.Settings.PeerAddress, peers}, {c.Settings.ControlAddress, c.Handler}} {
+	}{
+		{c.Settings.PeerAddress, peers}, {c.Settings.ControlAddress, c.Handler},
+		{c.Settings.MetricsAddress, exposer.NewHandler(c.Metrics, c.dump)},
+	} {
+		if l.address == "" {
+			continue
+		}
 		ln, err := c.Network.Listen(ctx, "tcp", l.address)
 		if err != nil {
 			return Error.Wrap(err)
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -153,6 +153,8 @@
 	defer cancel()
 	begun := time.Now()
 	outcome := c.Engines.Carry(bounded, o)
+	c.orders[outcome].Inc(1)
+	c.orderTime.Update(time.Since(begun).Milliseconds())
 	_ = level.Info(c.Logger).Log("msg", "order", "action", o.Action, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
 		"model", o.Model, "cut", o.Cut, "outcome", outcome, "took", time.Since(begun), "reason", o.Reason)
 	c.mu.Lock()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -312,7 +312,7 @@
 	}
 	x.leftBehind = true
 	f.chooser.Failed(time.Now(), x.server)
-	f.counts.moved.Add(1)
+	f.counts.moved.Inc(1)
 	_ = x.conn.SetDeadline(time.Unix(1, 0))
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
@@ -117,6 +118,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Metrics takes the counters; nil means none that others see.
+	Metrics metrics.Registry
 
 	catalog atomic.Pointer[cataloger.Catalog]
 	// fresh is the Elapsed time as of which the catalog was that of the quorum,
@@ -156,6 +159,10 @@
 	f.active = map[*exchange]struct{}{}
 	f.demands = map[demandKey]*Demand{}
 	f.fronts = 1
+	if f.Metrics == nil {
+		f.Metrics = metrics.NewRegistry()
+	}
+	f.counts = newCounts(f.Metrics)
 }
 
 // SetCatalog puts a catalog into force. An older one than that in force changes
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
@@ -48,32 +48,35 @@
 	expected time.Duration
 }
 
-// counts are the request counters of a Forwarder.
+// counts are what a Forwarder counts and measures.
 type counts struct {
-	requests, served, refused, failed, cut, repeats, moved atomic.Int64
+	// served answers are whole answers of backend servers, refused ones have not
+	// run, failed ones may have run, cut ones broke off.
+	requests, served, refused, failed, cut metrics.Counter
+	// repeats are sends to a second server, moved requests that stood still and
+	// were taken elsewhere.
+	repeats, moved metrics.Counter
+	// firstEvent is the time to the first event of streams, total that to the
+	// end of all answers, in milliseconds.
+	firstEvent, total metrics.Histogram
 }
 
-// Counts is a reading of the request counters.
-type Counts struct {
-	Requests int64 `json:"requests"`
-	// Served answers are whole answers of backend servers, Refused ones have not
-	// run, Failed ones may have run, Cut ones broke off.
-	Served  int64 `json:"served"`
-	Refused int64 `json:"refused"`
-	Failed  int64 `json:"failed"`
-	Cut     int64 `json:"cut"`
-	// Repeats are sends to a second server, Moved those of streams that went on
-	// elsewhere.
-	Repeats int64 `json:"repeats"`
-	Moved   int64 `json:"moved"`
-}
+// sampleSize and sampleDecay are the library's own values for a histogram that
+// weighs the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
 
-// Counts returns the request counters.
-func (f *Forwarder) Counts() Counts {
-	c := &f.counts
-	return Counts{
-		Requests: c.requests.Load(), Served: c.served.Load(), Refused: c.refused.Load(), Failed: c.failed.Load(),
-		Cut: c.cut.Load(), Repeats: c.repeats.Load(), Moved: c.moved.Load(),
+func newCounts(r metrics.Registry) counts {
+	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter("requests_"+name, r) }
+	histogram := func(name string) metrics.Histogram {
+		return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	}
+	return counts{
+		requests: counter("total"), served: counter("served"), refused: counter("refused"), failed: counter("failed"),
+		cut: counter("cut"), repeats: counter("repeated"), moved: counter("moved"),
+		firstEvent: histogram("first_event_ms"), total: histogram("answer_ms"),
 	}
 }
 
@@ -181,7 +184,7 @@
 	if !q.f.budget(q.service).Repeat(time.Now()) {
 		return false
 	}
-	q.f.counts.repeats.Add(1)
+	q.f.counts.repeats.Inc(1)
 	return true
 }
 
@@ -203,16 +206,17 @@
 // end logs the end of the request and counts it.
 func (q *request) end(status int, reason string) {
 	c := &q.f.counts
-	c.requests.Add(1)
+	c.requests.Inc(1)
 	switch {
 	case reason == reasonServed:
-		c.served.Add(1)
+		c.served.Inc(1)
+		c.total.Update(time.Since(q.began).Milliseconds())
 	case reason == reasonCut:
-		c.cut.Add(1)
+		c.cut.Inc(1)
 	case q.runs > 0:
-		c.failed.Add(1)
+		c.failed.Inc(1)
 	default:
-		c.refused.Add(1)
+		c.refused.Inc(1)
 	}
 	route, version := "", cataloger.Version(0)
 	if q.route != nil {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -162,5 +162,6 @@
 func (s *stream) start(x *exchange) {
 	s.started = true
 	s.q.firstByte = time.Since(s.q.began)
+	s.q.f.counts.firstEvent.Update(s.q.firstByte.Milliseconds())
 	s.q.writeHead(x)
 }
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -20,12 +20,14 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/coordinator"
+	"trefoilhead.org/trefoilhead/internal/exposer"
 	"trefoilhead.org/trefoilhead/internal/forwarder"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/linker"
@@ -63,6 +65,8 @@
 	// Elapsed is a clock that goes on during suspensions.
 	Elapsed func() time.Duration
 	Seed    uint64
+	// Metrics takes the counters of the process.
+	Metrics metrics.Registry
 
 	self      identifier.VM
 	linker    *linker.Linker
@@ -102,6 +106,15 @@
 	set := &f.Settings
 	b := &set.Bounds
 	f.self = identifier.VM(set.PeerAddress)
+	if f.Metrics == nil {
+		f.Metrics = metrics.NewRegistry()
+	}
+	metrics.NewRegisteredFunctionalGauge("catalog_version", f.Metrics, func() int64 { return int64(f.Known().Catalog) })
+	metrics.NewRegisteredFunctionalGauge("catalog_confirmed_ago_ms", f.Metrics, func() int64 {
+		ago, _ := f.forwarder.FreshAgo()
+		return ago.Milliseconds()
+	})
+	metrics.NewRegisteredFunctionalGauge("fronts", f.Metrics, func() int64 { return int64(f.Known().Fronts) })
 	// Fronts that start at the same moment must not choose alike.
 	own := xxhash.Sum64String(set.PeerAddress)
 	f.random = rand.New(rand.NewPCG(f.Seed, own))
@@ -117,6 +130,7 @@
 	f.forwarder = forwarder.Forwarder{
 		Dialect: f.Dialect, Pool: &f.pool, Logger: f.Logger, Elapsed: f.Elapsed, Revocation: b.Revocation(),
 		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow(),
+		Metrics: f.Metrics,
 	}
 	f.forwarder.Init(&chooser.Chooser{
 		Domain: set.FailureDomain, Rand: rand.New(rand.NewPCG(f.Seed, own+1)), Fronts: 1,
@@ -158,7 +172,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	readiness := &http.Server{Handler: f.Readiness, ReadHeaderTimeout: linkSilence}
 	defer func() { _ = readiness.Close() }()
 	go func() { failed <- readiness.Serve(ready) }()
@@ -170,6 +184,15 @@
 	defer cancel()
 	wg.Go(func() { f.followLoop(work) })
 	wg.Go(func() { f.sweepLoop(work) })
+	if f.Settings.MetricsAddress != "" {
+		shown, err := f.Network.Listen(ctx, "tcp", f.Settings.MetricsAddress)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		exposed := &http.Server{Handler: exposer.NewHandler(f.Metrics, f.dump), ReadHeaderTimeout: linkSilence}
+		defer func() { _ = exposed.Close() }()
+		go func() { failed <- exposed.Serve(shown) }()
+	}
 	select {
 	case err := <-failed:
 		_ = level.Error(f.Logger).Log("msg", "front process fails", "err", err)
@@ -199,6 +222,16 @@
 	_ = level.Info(f.Logger).Log("msg", "front process has stopped", "took", time.Since(begun), "err", err)
 }
 
+// dump returns the state of the process for operators.
+func (f *Front) dump() any {
+	return struct {
+		Settings configurer.Node
+		Known    Known
+		Doubts   []forwarder.Doubt
+		Ready    bool
+	}{f.Settings, f.Known(), f.forwarder.Doubts(time.Now()), f.Ready()}
+}
+
 func (f *Front) limits() cataloger.Limits { return f.forwarder.Limits() }
 
 // sweepLoop looks after requests and connections that stand still.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -27,7 +27,7 @@
 	learned time.Time
 	// arrivalsEnd is until when a first start waits for more servers.
 	arrivalsEnd time.Time
-	groups  map[identifier.Group]*group
+	groups      map[identifier.Group]*group
 	// ended holds the groups that are over but may still be announced, and since
 	// when.
 	ended map[identifier.Group]time.Time
