tracker: take a repeated report of an old announcement for no news

Change: an announcement with the life and the sequence that are known changes nothing but that the server has left.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -180,6 +180,9 @@
 		return false
 	case s.Born == old.Born && s.Sequence < old.Sequence && !s.Gone:
 		return false
+	case s.Born == old.Born && s.Sequence == old.Sequence && s.Gone == old.Gone:
+		// The same announcement by another way, however long ago it was made.
+		return false
 	}
 	if s.HeardAt.Before(old.HeardAt) {
 		s.HeardAt = old.HeardAt
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// TestSameAnnouncementIsNoNews has another process report what it heard long ago.
+// The server stays silent.
+func TestSameAnnouncementIsNoNews(t *testing.T) {
+	g := &Registry{Silence: 3 * time.Second}
+	s := server("a", 10, 5)
+	g.Hear(s)
+	g.Sweep(start.Add(40 * time.Second))
+	r := g.Revision()
+	s.HeardAt = start.Add(5 * time.Millisecond)
+	if g.Hear(s) || !g.Get("a").Silent || g.Revision() != r {
+		t.Error("a repeated report of an old announcement counted as news")
+	}
+	s.Gone = true
+	if !g.Hear(s) || !g.Get("a").Gone {
+		t.Error("a report that the server has left was dropped")
+	}
+}
+
 func TestSinceGivesWhatChanged(t *testing.T) {
 	g := &Registry{Silence: time.Second}
 	g.Hear(server("a", 10, 5))
