fronter: drop leftovers, bound memory

Fields of the catalog that nobody reads, wrappers with one caller and an argument that was not used are gone. The runtime's memory limit follows memory_mb. The test of the plan for large and small groups only logged; it now checks the share of the servers and the spares of each fabric domain.

--- a/cmd/trefoilhead/node.go
+++ b/cmd/trefoilhead/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -29,6 +30,10 @@
 // the shortest time in which a deployment expects others to notice.
 const nodeSilence = time.Second
 
+// memoryShare is the part of the VM's memory from which on the runtime collects
+// garbage more often; the rest is for stacks and what the kernel holds.
+const memoryShare = 0.7
+
 func newFront() *ffcli.Command {
 	return newNode("front", "run a front process on the users' platform", configurer.Front, runFront)
 }
@@ -55,6 +60,9 @@
 			if *logLevel != "" {
 				set.Logs.Level = *logLevel
 			}
+			if set.MemoryMB > 0 {
+				debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryShare))
+			}
 			w := &logger.Writer{Out: os.Stdout}
 			defer w.Close()
 			shown := metrics.NewRegistry()
--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -105,8 +105,6 @@
 type Engine struct {
 	// Slots is the number of requests that a group runs at once.
 	Slots int
-	// KVTokens is the number of tokens that fit into a group's memory.
-	KVTokens int
 	// Stride is the number of token steps in one pass, and of tokens in one
 	// event.
 	Stride int
@@ -121,9 +119,7 @@
 	// a second, LoadsAtOnce the number that run at full speed.
 	LoadsPerSecond float64
 	LoadsAtOnce    int
-	// KeepStaged is the number of models that a VM keeps on its host.
-	KeepStaged int
-	Models     []Model
+	Models         []Model
 	// UsualAnswer is the mean number of tokens of an answer.
 	UsualAnswer int
 }
@@ -140,8 +136,7 @@
 
 // Service describes the backend servers of one service.
 type Service struct {
-	Name       identifier.Service
-	HealthPath string
+	Name identifier.Service
 	// MaxConnections bounds the connections to one backend server from all
 	// entry VMs together.
 	MaxConnections int
--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -35,10 +35,11 @@
 	// DataFolder is where a core process keeps its log.
 	DataFolder string `yaml:"data_folder" json:"data_folder"`
 	// FirstStart is set only while the whole system starts for the first time.
-	FirstStart bool       `yaml:"first_start" json:"first_start"`
-	MemoryMB   int        `yaml:"memory_mb" json:"memory_mb"`
-	Bounds     NodeBounds `yaml:"bounds" json:"bounds"`
-	Logs       LogsSet    `yaml:"logs" json:"logs"`
+	FirstStart bool `yaml:"first_start" json:"first_start"`
+	// MemoryMB is what the process may use; 0 means no bound.
+	MemoryMB int        `yaml:"memory_mb" json:"memory_mb"`
+	Bounds   NodeBounds `yaml:"bounds" json:"bounds"`
+	Logs     LogsSet    `yaml:"logs" json:"logs"`
 }
 
 // NodeBounds are the promises that a deployment makes. Times are in the unit
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -28,6 +28,7 @@
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/driver"
+	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/exposer"
 	"trefoilhead.org/trefoilhead/internal/grouper"
 	"trefoilhead.org/trefoilhead/internal/identifier"
@@ -210,7 +211,7 @@
 
 // SendLog implements driver.Sender.
 func (s logSender) SendLog(to identifier.VM, name string, m replicator.Message) {
-	s.l.Send(to, encodeLog(name, m))
+	s.l.Send(to, &peerv1.Envelope{Log: encoder.EncodeLog(name, m)})
 }
 
 // Run serves until ctx ends or the log's storage fails.
@@ -382,7 +383,7 @@
 	var servers []*peerv1.ServerState
 	for id := range c.unsent {
 		if s := c.registry.Get(id); s != nil {
-			servers = append(servers, encodeServer(now, s))
+			servers = append(servers, encoder.EncodeServer(now, s))
 		}
 	}
 	clear(c.unsent)
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -12,7 +12,6 @@
 	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/replicator"
-	"trefoilhead.org/trefoilhead/internal/tracker"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
 
@@ -37,14 +36,6 @@
 	leastVoters = 3
 )
 
-func encodeLog(name string, m replicator.Message) *peerv1.Envelope {
-	return &peerv1.Envelope{Log: encoder.EncodeLog(name, m)}
-}
-
-func encodeServer(now time.Time, s *tracker.Server) *peerv1.ServerState {
-	return encoder.EncodeServer(now, s)
-}
-
 // HandlePeer implements linker.Handler.
 func (c *Coordinator) HandlePeer(ctx context.Context, from identifier.VM, e *peerv1.Envelope) (*peerv1.Envelope, error) {
 	switch {
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -183,8 +183,8 @@
 	readiness := &http.Server{Handler: f.Readiness, ReadHeaderTimeout: linkSilence}
 	defer func() { _ = readiness.Close() }()
 	go func() { failed <- readiness.Serve(ready) }()
-	server := newGuardedServer(&f.forwarder, f.limits)
-	go func() { failed <- server.Serve(&guardedListener{Listener: callers, limits: f.limits}) }()
+	server := newGuardedServer(&f.forwarder)
+	go func() { failed <- server.Serve(&guardedListener{Listener: callers, limits: f.forwarder.Limits}) }()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer f.linker.Close()
@@ -239,8 +239,6 @@
 	}{f.Settings, f.Known(), f.forwarder.Doubts(time.Now()), f.Ready()}
 }
 
-func (f *Front) limits() cataloger.Limits { return f.forwarder.Limits() }
-
 // sweepLoop looks after requests and connections that stand still.
 func (f *Front) sweepLoop(ctx context.Context) {
 	ticker := time.NewTicker(sweepPace)
--- a/internal/fronter/guard.go
+++ b/internal/fronter/guard.go
@@ -25,7 +25,7 @@
 )
 
 // newGuardedServer returns the server of callers' connections.
-func newGuardedServer(h http.Handler, _ func() cataloger.Limits) *http.Server {
+func newGuardedServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: markedBound, IdleTimeout: markedBound, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: func(c net.Conn, s http.ConnState) {
--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -110,7 +110,7 @@
 	f.catalog = &cataloger.Catalog{Version: 1, Services: []cataloger.Service{{
 		Name: "llm", Engine: &cataloger.Engine{
 			Slots: 26, Stride: 7, Step: 6 * time.Millisecond, ReadPerSecond: 50000,
-			LoadsPerSecond: 4.5, LoadsAtOnce: 6, KeepStaged: 1, Models: models,
+			LoadsPerSecond: 4.5, LoadsAtOnce: 6, Models: models,
 		},
 	}}}
 	if err := f.catalog.Index(); err != nil {
--- a/internal/grouper/plan_test.go
+++ b/internal/grouper/plan_test.go
@@ -7,6 +7,7 @@
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
 // TestLargeAndSmallGroupsShareTheServers starts a fleet with a model of 16 and
@@ -24,23 +25,29 @@
 	f := newFleet(t, models, counts)
 	f.catalog.Services[0].Engine.LoadsAtOnce = 37
 	f.run(100 * time.Second)
+	const servers = 8 * 37
+	forBig := 0
 	for fabric := range counts {
-		big, small, spare := 0, 0, 0
+		big, spare := 0, 0
 		for _, e := range f.find("all@" + string(fabric)) {
-			open := len(e.members) > 0 && f.engines[e.members[0]].member.Group == e.member.Group && e.member.Group != "" &&
-				f.engines[e.members[0]].member.State == "open"
-			switch {
-			case !open:
-				if e.staged == "big" {
-					spare++
-				}
-			case e.member.Rank != 0:
-			case e.last == "big":
+			head := f.engines[firstOf(e)]
+			switch open := head != nil && head.member.State == tracker.Open && head.member.Epoch == e.member.Epoch; {
+			case !open && e.staged == "big":
+				spare++
+			case open && e.member.Rank == 0 && e.last == "big":
 				big++
-			default:
-				small++
 			}
 		}
-		t.Logf("%s: %d big, %d small, %d spare for big", fabric, big, small, spare)
+		if want := spares(models[0], big); spare < want {
+			t.Errorf("%s has %d large groups and %d spares for them, want %d", fabric, big, spare, want)
+		}
+		forBig += big*models[0].Size + spare
+	}
+	// Half of the servers, give or take a fabric domain's part that is left over.
+	if share := float64(forBig) / servers; share < 0.4 || share > 0.6 {
+		t.Errorf("%.2f of the servers are there for the large model, whose share is 0.5", share)
+	}
+	if got := f.serving(); got["big"] == 0 || got["small"] == 0 {
+		t.Errorf("serving: %v", got)
 	}
 }
