fronter: end slow headers on kept connections too

Cause: the server sets the deadline for the rest of a header directly after the one for its first byte. The guard took both for the limit on unused connections, so a slow header on a kept connection had 15 s in place of 3 s. Found by the test.

Change: the first deadline after an answer is for the first byte, the next one for the header.

--- a/internal/fronter/guard.go
+++ b/internal/fronter/guard.go
@@ -58,18 +58,15 @@
 type guardedConn struct {
 	net.Conn
 	limits func() cataloger.Limits
-	// idle is set while the connection waits for the first byte of a request.
+	// idle is set when the next deadline is for the first byte of a request; the
+	// one after it is for the rest of its header.
 	idle atomic.Bool
 }
 
 // SetReadDeadline implements net.Conn. A deadline at the marked distance is
 // replaced by the limit in force.
 func (g *guardedConn) SetReadDeadline(t time.Time) error {
-	if t.IsZero() {
-		g.idle.Store(false)
-		return g.Conn.SetReadDeadline(t)
-	}
-	if time.Until(t) < marked {
+	if t.IsZero() || time.Until(t) < marked {
 		return g.Conn.SetReadDeadline(t)
 	}
 	l := g.limits()
@@ -77,7 +74,7 @@
 	if bound <= 0 {
 		bound = defaultHeaderTimeout
 	}
-	if g.idle.Load() {
+	if g.idle.Swap(false) {
 		if l.IdleTimeout <= 0 {
 			l.IdleTimeout = defaultIdleTimeout
 		}
--- /dev/null
+++ b/internal/fronter/guard_test.go
@@ -0,0 +1,113 @@
+package fronter
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/piper"
+)
+
+// inGuarded runs a test against a guarded server whose limits it may change.
+func inGuarded(t *testing.T, test func(dial func() net.Conn, limits *atomic.Pointer[cataloger.Limits])) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := piper.New()
+		l, err := piper.Host{Net: network, Name: "front"}.Listen(context.Background(), "tcp", "front:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		limits := &atomic.Pointer[cataloger.Limits]{}
+		limits.Store(&cataloger.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+		server := newGuardedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+		go func() {
+			_ = server.Serve(&guardedListener{Listener: l, limits: func() cataloger.Limits { return *limits.Load() }})
+		}()
+		test(func() net.Conn {
+			c, err := piper.Host{Net: network, Name: "caller"}.DialContext(context.Background(), "tcp", "front:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			return c
+		}, limits)
+		_ = server.Close()
+		network.Kill("caller")
+		network.Kill("front")
+		synctest.Wait()
+	})
+}
+
+// ask sends a request and reads its answer.
+func ask(c net.Conn) error {
+	if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// isClosed reports whether the server has ended a connection.
+func isClosed(c net.Conn) bool {
+	synctest.Wait()
+	_ = c.SetReadDeadline(time.Now())
+	_, err := c.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
+func TestUnusedConnectionsKeepTheLimit(t *testing.T) {
+	inGuarded(t, func(dial func() net.Conn, limits *atomic.Pointer[cataloger.Limits]) {
+		c := dial()
+		for range 3 {
+			// Callers use connections again after up to four fifths of the limit.
+			time.Sleep(12 * time.Second)
+			if err := ask(c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(15100 * time.Millisecond)
+		if !isClosed(c) {
+			t.Error("a connection was unused for longer than the limit and is open")
+		}
+		limits.Store(&cataloger.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second})
+		c = dial()
+		if err := ask(c); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Second)
+		if err := ask(c); err != nil {
+			t.Errorf("a limit that was raised is not in force: %v", err)
+		}
+	})
+}
+
+func TestSlowHeadersEnd(t *testing.T) {
+	inGuarded(t, func(dial func() net.Conn, _ *atomic.Pointer[cataloger.Limits]) {
+		c := dial()
+		if err := ask(c); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\nX: ")
+		time.Sleep(2900 * time.Millisecond)
+		if isClosed(c) {
+			t.Fatal("a header within its time was cut off")
+		}
+		time.Sleep(200 * time.Millisecond)
+		if !isClosed(c) {
+			t.Error("a header that takes longer than the limit is still waited for")
+		}
+	})
+}
