fronter: report the loads that are taken off the sum

A pull read this front's loads twice, for the report and for what is taken off the core's sum, so a request between the two counted as another front's. An argument of noteDemand was always false, and its branch dead.

Change: one reading; the branch is gone.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -233,7 +233,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
-	f.noteDemand(q, false)
+	f.noteDemand(q)
 	if q.route.Kind == cataloger.Stream {
 		q.serveStream()
 	} else {
@@ -294,7 +294,8 @@
 	q.deadline = q.began.Add(left)
 }
 
-func (f *Forwarder) noteDemand(q *request, refused bool) {
+// noteDemand chooses the request's service and counts what it asks for.
+func (f *Forwarder) noteDemand(q *request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q.service = f.pickService(q.route)
@@ -304,10 +305,6 @@
 		d = &Demand{Service: k.service, Model: k.model}
 		f.demands[k] = d
 	}
-	if refused {
-		d.Refused++
-		return
-	}
 	d.Requests++
 	if svc := q.catalog.Service(q.service); svc != nil && svc.Engine != nil {
 		q.engine = svc.Engine
--- a/internal/fronter/follow.go
+++ b/internal/fronter/follow.go
@@ -106,12 +106,12 @@
 		FailureDomain: string(f.Settings.FailureDomain), Registry: w.registry, Revision: w.revision,
 		CatalogVersion: uint64(w.catalog), WaitMs: uint32(wait.Milliseconds()),
 	}
-	for id, l := range f.forwarder.Loads() {
+	own := f.forwarder.Loads()
+	for id, l := range own {
 		p.Loads = append(p.Loads, &peerv1.ServerLoad{
 			Id: string(id), Running: uint32(max(l.Running, 0)), UnreadTokens: uint64(max(l.Unread, 0)),
 		})
 	}
-	own := f.forwarder.Loads()
 	for _, d := range f.forwarder.Doubts(now) {
 		p.Doubts = append(p.Doubts, &peerv1.ServerDoubt{
 			Id: string(d.Server), AnsweredAgoMs: uint64(d.AnsweredAgo.Milliseconds()),
