replicator: elect early after a restart when every voter agrees that nobody leads

Cause: after a restart of all core processes the first leader came 1.0 to 1.2 s after a majority was up, since each voter waits for its ordinary election limit (1 to 2 s). Fronts that had restarted too refuse everything until then. A front also lost up to 0.66 s to its first pull from a core process that was still down.

Ruled out: reading the disk (10 ms), links (30 ms after the start), learning of groups (servers announce themselves within a heartbeat, in parallel).

Change: until a leader is heard a voter asks for pre-votes every one to three ticks and holds the election if all voters grant them; then none of them knows a leader, so a live one is not replaced. The ordinary limit goes on meanwhile. A front's first pull asks for an answer at once and bounds it by 150 ms, doubled with each failure.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -73,6 +73,9 @@
 	inboxLength     = 4096
 	electionTicks   = 10
 	heartbeatTicks  = 4
+	// eagerTicks covers the time by which processes that are started together
+	// differ.
+	eagerTicks = 2 * electionTicks
 )
 
 // Driver runs one log on one voter. Exported fields are set before Run.
@@ -207,8 +210,8 @@
 	}
 	_ = level.Info(d.Logger).Log("msg", "recovered", "found", rec)
 	d.node = &replicator.Node{
-		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: d.Rand,
-		KeepCommit: d.KeepCommit,
+		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, EagerTicks: eagerTicks,
+		Rand: d.Rand, KeepCommit: d.KeepCommit,
 	}
 	if stored.Snapshot.Index == 0 && isFirst(id) {
 		stored.Snapshot.Voters = d.firstVoters()
--- a/internal/fronter/follow.go
+++ b/internal/fronter/follow.go
@@ -25,6 +25,11 @@
 	pullShare = time.Millisecond
 	// pullBound is how much longer an answer may take.
 	pullBound = 600 * time.Millisecond
+	// firstPullBound is the bound of the first answer that a front needs, which
+	// is at hand; a core process that is down must not hold it up. Each one that
+	// fails doubles it, until pullBound.
+	firstPullBound    = 150 * time.Millisecond
+	maxFirstDoublings = 2
 	// pullRetry is the pause after a pull that failed.
 	pullRetry = 30 * time.Millisecond
 	// avoidFor is how long a core process that failed is not asked.
@@ -101,7 +106,10 @@
 func (f *Front) pull(ctx context.Context, core identifier.VM) bool {
 	w := &f.follow
 	asked, now := f.Elapsed(), time.Now()
-	wait := max(pullWait, time.Duration(w.fronts)*pullShare)
+	wait, bound := max(pullWait, time.Duration(w.fronts)*pullShare), pullBound
+	if w.core == "" {
+		wait, bound = 0, min(firstPullBound<<w.failed, pullBound)
+	}
 	p := &peerv1.FrontPull{
 		FailureDomain: string(f.Settings.FailureDomain), Registry: w.registry, Revision: w.revision,
 		CatalogVersion: uint64(w.catalog), WaitMs: uint32(wait.Milliseconds()),
@@ -124,7 +132,7 @@
 			EngineMs: uint64(d.Engine.Milliseconds()),
 		})
 	}
-	bounded, cancel := context.WithTimeout(ctx, wait+pullBound)
+	bounded, cancel := context.WithTimeout(ctx, wait+bound)
 	defer cancel()
 	answer, err := f.linker.Call(bounded, core, &peerv1.Envelope{FrontPull: p})
 	u := answer.GetFrontUpdate()
@@ -132,6 +140,7 @@
 		if ctx.Err() == nil {
 			_ = level.Info(f.Logger).Log("msg", "core process does not answer", "core", core, "err", err)
 		}
+		w.failed = min(w.failed+1, maxFirstDoublings)
 		return false
 	}
 	if w.core != core {
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -105,6 +105,8 @@
 	changes uint64
 	// avoid holds core processes that failed lately, and until when.
 	avoid map[identifier.VM]time.Time
+	// failed counts the pulls that failed before the first that did not.
+	failed int
 }
 
 // Init prepares the process. It is called before Run.
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -17,6 +17,8 @@
 	cut map[NodeID]bool
 	// lossy is the share of messages lost, twice that of messages repeated.
 	lossy float64
+	// eager is the EagerTicks of voters that boot.
+	eager int
 	// leaders notes the leader of each term, to catch a second one.
 	leaders map[Term]NodeID
 	// agreed is the command committed at each index by whoever came first.
@@ -55,7 +57,7 @@
 func (c *cluster) boot(id NodeID) {
 	v := c.nodes[id]
 	v.node = &Node{
-		ID: id, ElectionTicks: 10, HeartbeatTicks: 2, KeepCommit: true,
+		ID: id, ElectionTicks: 10, HeartbeatTicks: 2, EagerTicks: c.eager, KeepCommit: true,
 		Rand: rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
 	}
 	v.down, v.paused = false, false
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -27,6 +27,11 @@
 	ElectionTicks int
 	// HeartbeatTicks is the number of ticks between a leader's heartbeats.
 	HeartbeatTicks int
+	// EagerTicks is how many ticks after Start an election may come early. Until
+	// a leader is heard, this Node asks for pre-votes every few ticks, and holds
+	// the election if every voter grants one: then none of them knows a leader. 0
+	// turns this off.
+	EagerTicks int
 	// Rand draws election limits.
 	Rand *rand.Rand
 	// KeepCommit stores the commit index before entries are handed out, so
@@ -48,9 +53,14 @@
 
 	elapsed       int
 	electionLimit int
-	votes         map[NodeID]bool
-	progress      map[NodeID]*progress
-	blank         Index
+	// eagerLeft counts the ticks in which an election may come early, eagerNext
+	// those to the next early pre-vote. Eager is set while one is under way.
+	eagerLeft int
+	eagerNext int
+	eager     bool
+	votes     map[NodeID]bool
+	progress  map[NodeID]*progress
+	blank     Index
 
 	out          Output
 	stateChanged bool
@@ -108,8 +118,18 @@
 	n.saved = n.log.last()
 	n.commit = min(max(n.commit, s.State.Commit), n.log.last())
 	n.follow(n.state.Term, "")
+	if n.EagerTicks > 0 {
+		n.eagerLeft, n.eagerNext = n.EagerTicks, n.eagerPause()
+	}
 }
 
+// eagerMost is the longest pause between two early pre-votes, in ticks: a tick is
+// longer than a round trip.
+const eagerMost = 3
+
+// eagerPause draws the ticks to the next early pre-vote.
+func (n *Node) eagerPause() int { return 1 + n.Rand.IntN(eagerMost) }
+
 // Role returns what this voter does now.
 func (n *Node) Role() Role { return n.role }
 
@@ -144,7 +164,27 @@
 	}
 	if n.elapsed >= n.electionLimit && n.isVoter() {
 		n.campaign(PreCandidate)
+		return
 	}
+	n.tickEager()
+}
+
+// tickEager asks for an early pre-vote when its time has come. The ordinary
+// election limit goes on meanwhile.
+func (n *Node) tickEager() {
+	if n.eagerLeft == 0 || n.role == Candidate {
+		return
+	}
+	n.eagerLeft--
+	n.eagerNext--
+	// An ordinary pre-vote gets the time for its answers.
+	asked := n.role == PreCandidate && !n.eager && n.elapsed < eagerMost
+	if n.eagerNext > 0 || asked || !n.isVoter() {
+		return
+	}
+	n.eagerNext = n.eagerPause()
+	n.eager = true
+	n.askPreVotes()
 }
 
 // isVoter reports whether this Node is among the voters.
@@ -334,6 +374,10 @@
 	}
 	n.role = Follower
 	n.leader = leader
+	if leader != "" {
+		n.eagerLeft = 0
+	}
+	n.eager = false
 	n.votes = nil
 	n.progress = nil
 	n.resetElection()
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -68,6 +68,12 @@
 			return err.Error()
 		}
 		c.flush(c.leader())
+	case "eager":
+		n, err := strconv.Atoi(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.eager = n
 	case "join":
 		c.add(ids[0], nil)
 	case "remove":
@@ -160,6 +166,8 @@
 	for seed := range uint64(*histories) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			h := &history{c: newCluster(seed, "a", "b", "c", "d", "e"), rand: rand.New(rand.NewPCG(seed, 3))}
+			// Every second history has early elections after each restart.
+			h.c.eager = int(seed%2) * 20
 			h.run(1500)
 			for _, f := range h.c.faults {
 				t.Error(f)
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -56,16 +56,23 @@
 
 // campaign asks the other voters for a pre-vote or a vote.
 func (n *Node) campaign(as Role) {
+	n.eager = false
+	n.resetElection()
+	if as == PreCandidate {
+		n.askPreVotes()
+		return
+	}
+	n.setState(n.state.Term+1, n.ID)
+	n.askVotes(Candidate, Vote, n.state.Term)
+}
+
+func (n *Node) askPreVotes() { n.askVotes(PreCandidate, PreVote, n.state.Term+1) }
+
+func (n *Node) askVotes(as Role, kind MessageKind, term Term) {
 	n.role = as
 	n.leader = ""
 	n.votes = map[NodeID]bool{n.ID: true}
 	n.progress = nil
-	n.resetElection()
-	kind, term := PreVote, n.state.Term+1
-	if as == Candidate {
-		kind = Vote
-		n.setState(term, n.ID)
-	}
 	if n.wonVotes() {
 		n.winRound()
 		return
@@ -126,6 +133,9 @@
 			count++
 		}
 	}
+	if n.eager {
+		return count == len(n.Voters())
+	}
 	return count >= majority(len(n.Voters()))
 }
 
@@ -136,6 +146,7 @@
 	}
 	n.role = Leader
 	n.leader = n.ID
+	n.eagerLeft = 0
 	n.elapsed = 0
 	n.progress = map[NodeID]*progress{}
 	n.trackVoters()
