forwarder: take streams off a group that stands still after two passes

Cause: a group that lost a member goes on accepting and gives nothing. Streams were taken elsewhere after 0.5 s, new requests went there until the core had closed the group.

Ruled out: waiting for the core (0.45 s of evidence, reports and orders on top).

Change: every running answer of a group gets an event with each pass, and the pass is known from the engine's figures, the running requests and the prompts that wait. A front whose answers at a group are all silent for two passes and the reading takes them elsewhere and sends nothing new there, unless no other group moves. A server slower than declared stretches the bound; a front that did not run itself draws no conclusion. A move takes its repeat from the budget before it cuts anything, and the last attempt of a request is never cut; before, both could end a stream that had only paused. The coordinator alone elects early: with it a test of serve showed that a domain serves nothing itself for 8 s when its authority also leads the config log.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -266,6 +266,14 @@
 // Service returns a service by its name, or nil.
 func (c *Catalog) Service(name identifier.Service) *Service { return c.services[name] }
 
+// ReadTime is the time in which a group of a model reads that many prompt tokens.
+func (e *Engine) ReadTime(m Model, tokens int) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.ReadPerSecond * m.Pace * float64(time.Second))
+}
+
 // Cost estimates the engine time of a request: reading its prompt, and its part
 // of the passes that write its answer while all places are taken.
 func (e *Engine) Cost(model string, prompt, answer int) time.Duration {
@@ -277,7 +285,6 @@
 	if answer <= 0 {
 		answer = e.UsualAnswer
 	}
-	read := float64(prompt) / e.ReadPerSecond * float64(time.Second)
 	step := float64(e.Step)/float64(e.Slots) + float64(e.PerRequest) + usualContext*float64(e.PerThousandTokens)
-	return time.Duration((read + float64(answer)*step) * m.Pace)
+	return e.ReadTime(m, prompt) + time.Duration(float64(answer)*step*m.Pace)
 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -52,6 +52,8 @@
 	// Urgent requests go to a server even when they will be late, because they
 	// have run in part.
 	Urgent bool
+	// Sound asks only for servers that did not fail lately.
+	Sound bool
 }
 
 // Choice is the outcome of an Ask: a server, or why there is none.
@@ -76,6 +78,11 @@
 	// running and unread are this front's own.
 	running int
 	unread  int
+	// writing counts those of them that had an event.
+	writing int
+	// pace is the mean pause between two events of one answer, in predicted
+	// passes; 0 while none was seen.
+	pace float64
 	// others is what the other fronts had at the last report.
 	othersRunning int
 	othersUnread  int
@@ -110,6 +117,8 @@
 	// byID holds all servers.
 	byID map[identifier.Server]*tracker.Server
 	work map[identifier.Server]*work
+	// awake is when this process last went on after it had not run.
+	awake time.Time
 	// near, far and drawn are scratch space of Choose.
 	near, far, drawn []*tracker.Server
 }
@@ -146,6 +155,7 @@
 	}
 	w.life, w.epoch = s.Born, s.Membership.Epoch
 	w.failures, w.unreachable, w.suspectUntil = 0, 0, time.Time{}
+	w.pace = 0
 }
 
 // SetOthers replaces what the other fronts have at the servers.
@@ -217,6 +227,9 @@
 // was left out.
 func (c *Chooser) collect(now time.Time, svc *cataloger.Service, a *Ask) (cold bool) {
 	for _, suspects := range []bool{false, true} {
+		if suspects && a.Sound {
+			break
+		}
 		c.near, c.far = c.near[:0], c.far[:0]
 		for _, s := range c.servers[a.Service] {
 			switch {
@@ -236,11 +249,11 @@
 	return cold
 }
 
-// isSuspect reports whether a server failed lately, or is silent and has not
-// answered this front since.
+// isSuspect reports whether a server failed lately, stands still, or is silent and
+// has not answered this front since.
 func (c *Chooser) isSuspect(now time.Time, s *tracker.Server) bool {
 	w := c.at(s.ID)
-	return now.Before(w.suspectUntil) || s.Silent && now.Sub(w.answered) > suspectFor
+	return now.Before(w.suspectUntil) || s.Silent && now.Sub(w.answered) > suspectFor || c.Stands(now, s.ID)
 }
 
 // draw returns two of the collected servers, one near if there is any.
@@ -338,7 +351,7 @@
 	m, _ := e.Model(a.Model)
 	unread := w.unread + w.othersUnread + a.PromptTokens
 	pass := passTime(e, m, min(running, e.Slots))
-	read := time.Duration(float64(unread) / e.ReadPerSecond * m.Pace * float64(time.Second))
+	read := e.ReadTime(m, unread)
 	wait := time.Duration(0)
 	if over := running + 1 - e.Slots; over > 0 {
 		events := float64(e.UsualAnswer) / float64(e.Stride)
@@ -386,6 +399,7 @@
 func (c *Chooser) Begun(now time.Time, id identifier.Server, prompt int) {
 	w := c.at(id)
 	w.unread -= prompt
+	w.writing++
 	c.Moved(now, id)
 }
 
@@ -396,12 +410,16 @@
 	w.unreachable = 0
 }
 
-// Ended notes the end of a request. Unread is its prompt if it had no first
-// event.
-func (c *Chooser) Ended(id identifier.Server, unread int) {
+// Ended notes the end of a request with a prompt of so many tokens. Begun tells
+// that it had an event.
+func (c *Chooser) Ended(id identifier.Server, prompt int, begun bool) {
 	w := c.at(id)
 	w.running--
-	w.unread -= unread
+	if begun {
+		w.writing--
+	} else {
+		w.unread -= prompt
+	}
 }
 
 // Succeeded notes a whole answer.
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -131,7 +131,7 @@
 			f.SetOthers(others)
 			for id, l := range own {
 				for range l.Running {
-					f.Ended(id, 1460)
+					f.Ended(id, 1460, false)
 				}
 			}
 		}
@@ -156,7 +156,7 @@
 		for _, f := range fronts {
 			if c := f.Choose(now, ask()); c.Server != nil {
 				f.Sent(now, s.ID, 10)
-				f.Ended(s.ID, 10)
+				f.Ended(s.ID, 10, false)
 				at = append(at, now.Sub(start))
 			} else if c.Reason != ColdServer || c.RetryAfter <= 0 {
 				t.Fatalf("refused as %q, retry after %s", c.Reason, c.RetryAfter)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -180,7 +180,7 @@
 	c.driver = &driver.Driver{
 		Name: logName, VM: c.self, Voters: seeds, Machine: &c.keeper, Sender: logSender{c.linker}, Logger: c.Logger,
 		Journal: &journaler.Journal{Files: journaler.Folder(filepath.Join(set.DataFolder, logName))},
-		Tick:    logTick, KeepCommit: true, Rand: rand.New(rand.NewPCG(c.Seed, own+1)), Start: start,
+		Tick:    logTick, KeepCommit: true, Eager: true, Rand: rand.New(rand.NewPCG(c.Seed, own+1)), Start: start,
 		SnapshotEvery: snapshotEvery, Trailing: trailing,
 	}
 	c.driver.Init()
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -90,6 +90,8 @@
 	Tick    time.Duration
 	// KeepCommit makes a restarted voter know at once all that it had applied.
 	KeepCommit bool
+	// Eager lets the voters elect early after a restart of all of them.
+	Eager bool
 	// Rand draws election limits; it is used by Run only.
 	Rand *rand.Rand
 	// Start says what a voter with an empty data folder does.
@@ -210,8 +212,11 @@
 	}
 	_ = level.Info(d.Logger).Log("msg", "recovered", "found", rec)
 	d.node = &replicator.Node{
-		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, EagerTicks: eagerTicks,
-		Rand: d.Rand, KeepCommit: d.KeepCommit,
+		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: d.Rand,
+		KeepCommit: d.KeepCommit,
+	}
+	if d.Eager {
+		d.node.EagerTicks = eagerTicks
 	}
 	if stored.Snapshot.Index == 0 && isFirst(id) {
 		stored.Snapshot.Voters = d.firstVoters()
--- a/internal/forwarder/backend_test.go
+++ b/internal/forwarder/backend_test.go
@@ -108,16 +108,14 @@
 
 const notRun = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
+const streamHead = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // events writes a stream of events from..to and ends it properly, or leaves it
 // torn.
 func events(from, to int, torn bool) func(net.Conn, *http.Request) bool {
 	return func(c net.Conn, r *http.Request) bool {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
-		for i := from; i <= to; i++ {
-			text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
-			time.Sleep(50 * time.Millisecond)
-		}
+		_, _ = fmt.Fprintf(c, streamHead, r.Header.Get("Id"))
+		writeEvents(c, from, to)
 		if torn {
 			_, _ = fmt.Fprint(c, "9\r\nid: 99\nda\r\n")
 			return false
@@ -127,6 +125,15 @@
 	}
 }
 
+// writeEvents writes events from..to, one every 50 ms.
+func writeEvents(c net.Conn, from, to int) {
+	for i := from; i <= to; i++ {
+		text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // world is a Forwarder with backend servers on a network in memory. The servers
 // are chosen in the order of their names.
 type world struct {
@@ -190,13 +197,33 @@
 }
 
 func (w *world) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.Sweep(time.Now())
+	for n := 0; ctx.Err() == nil; n++ {
+		const stillPerSweep = 4
+		if n%stillPerSweep == 0 {
+			w.Sweep(time.Now())
+		}
+		w.SweepStill(time.Now())
 		select {
 		case <-ctx.Done():
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(StillPace):
+		}
+	}
+}
+
+// beHeads makes the servers the heads of groups of an engine.
+func (w *world) beHeads() {
+	var heads []*tracker.Server
+	for name := range w.backends {
+		domain := identifier.FailureDomain("z")
+		if name != "first" {
+			domain = "other"
 		}
+		heads = append(heads, &tracker.Server{
+			ID: identifier.Server(name), Service: "llm", Address: name + ":1", Domain: domain, Born: 1, HeardAt: time.Now(),
+			Models: []string{"m"}, Membership: tracker.Membership{Group: identifier.Group(name), Epoch: 1, State: tracker.Open},
+		})
 	}
+	w.SetServers(heads, nil)
 }
 
 func testCatalog(t *testing.T) *cataloger.Catalog {
@@ -209,14 +236,18 @@
 		}
 	}
 	c := &cataloger.Catalog{
-		Version: 1, Services: []cataloger.Service{{Name: "svc"}},
+		Version: 1, Services: []cataloger.Service{{Name: "svc"}, {Name: "llm", Engine: &cataloger.Engine{
+			Slots: 26, Stride: 7, Step: 6 * time.Millisecond, ReadPerSecond: 50000, UsualAnswer: 100,
+			Models: []cataloger.Model{{Name: "m", Size: 4, Pace: 1}},
+		}}},
 		Routes: []cataloger.Route{
 			route("once", cataloger.Once), route("any", cataloger.Idempotent), route("stream", cataloger.Stream),
-			route("keyed", cataloger.Once),
+			route("keyed", cataloger.Once), route("chat", cataloger.Stream),
 		},
 		Teams:  []cataloger.Team{{Name: "team", Keys: []string{"k"}}},
 		Limits: cataloger.Limits{HeaderBytes: 2000, BodyBytes: 100},
 	}
+	c.Routes[len(c.Routes)-1].Targets[0].Service = "llm"
 	if err := c.Index(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -34,17 +34,21 @@
 type exchange struct {
 	q      *request
 	server identifier.Server
-	conn   *pooler.Conn
-	resp   *http.Response
-	stamp  Stamp
-	stop   func() bool
+	// run counts the runs of the request up to this one.
+	run   int
+	conn  *pooler.Conn
+	resp  *http.Response
+	stamp Stamp
+	stop  func() bool
 	// The fields below are guarded by the Forwarder's mu.
 	sent     time.Time
 	moved    time.Time
 	expected time.Duration
 	begun    bool
-	// leftBehind is set when the request is to go on at another server.
+	// leftBehind is set when the request is to go on at another server, prepaid
+	// when that repeat was taken from the budget.
 	leftBehind bool
+	prepaid    bool
 	over       bool
 }
 
@@ -72,7 +76,8 @@
 		q.noteUnsent(s.ID, err)
 		return nil, fateUnsent
 	}
-	x := &exchange{q: q, server: s.ID, conn: conn, sent: time.Now(), moved: time.Now(), expected: c.Expected}
+	now := time.Now()
+	x := &exchange{q: q, server: s.ID, run: q.runs + 1, conn: conn, sent: now, moved: now, expected: c.Expected}
 	// The connection is cut when the caller leaves or the time is over.
 	x.stop = context.AfterFunc(q.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	f.mu.Lock()
@@ -191,13 +196,23 @@
 	q := x.q
 	q.runs++
 	q.lastFault = err.Error()
-	if q.ctx.Err() == nil {
-		x.note(func(c *chooser.Chooser, now time.Time) { c.Failed(now, x.server) })
-	}
+	x.noteBroken()
 	x.finish(false, false)
 	return nil, fateUnknown
 }
 
+// noteBroken notes a failure of the server, unless this side ended the exchange.
+func (x *exchange) noteBroken() {
+	if x.q.ctx.Err() != nil {
+		return
+	}
+	x.note(func(c *chooser.Chooser, now time.Time) {
+		if !x.leftBehind {
+			c.Failed(now, x.server)
+		}
+	})
+}
+
 // finish ends the exchange. Whole tells that the answer was read to its end, so
 // that the connection can be used again.
 func (x *exchange) finish(whole, success bool) {
@@ -208,12 +223,9 @@
 		return
 	}
 	x.over = true
+	x.q.prepaid = x.prepaid
 	delete(f.active, x)
-	unread := x.q.ask.PromptTokens
-	if x.begun {
-		unread = 0
-	}
-	f.chooser.Ended(x.server, unread)
+	f.chooser.Ended(x.server, x.q.ask.PromptTokens, x.begun)
 	if whole {
 		f.chooser.Moved(time.Now(), x.server)
 	}
@@ -251,8 +263,10 @@
 	f := x.q.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	pause := now.Sub(x.moved)
 	x.moved = now
 	if x.begun {
+		f.chooser.Paused(x.server, pause)
 		f.chooser.Moved(now, x.server)
 		return
 	}
@@ -284,9 +298,7 @@
 		}
 	}
 	f.mu.Unlock()
-	for _, x := range still {
-		x.leave()
-	}
+	f.leave(still, false)
 }
 
 // patience is how long the exchange may be silent. The caller holds mu.
@@ -298,38 +310,73 @@
 	return max(leastQuiet, objectiveFactor*r.Objective, x.expected+r.Objective)
 }
 
-// leave cuts the connection of an exchange so that its request goes on at
-// another server, if there is one.
-func (x *exchange) leave() {
-	if !x.q.route.Repeatable() || !x.q.canMoveFrom(x) {
-		return
-	}
-	f := x.q.f
+// SweepStill takes the requests of groups that stand still elsewhere, unless every
+// other group seems to stand still as well. It is called every StillPace.
+func (f *Forwarder) SweepStill(now time.Time) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if x.over {
-		return
+	if late := now.Sub(f.swept); !f.swept.IsZero() && late > wokeAfter*StillPace {
+		f.chooser.Woke(now)
 	}
-	x.leftBehind = true
-	f.chooser.Failed(time.Now(), x.server)
-	f.counts.moved.Inc(1)
-	_ = x.conn.SetDeadline(time.Unix(1, 0))
+	f.swept = now
+	var still []*exchange
+	for x := range f.active {
+		if !x.leftBehind && f.chooser.Stands(now, x.server) {
+			still = append(still, x)
+		}
+	}
+	f.mu.Unlock()
+	f.leave(still, true)
 }
 
-// canMoveFrom is canMove for a request whose exchange still runs. It reads only
-// what does not change meanwhile.
-func (q *request) canMoveFrom(x *exchange) bool {
-	f := q.f
+const (
+	// StillPace is the pause between two looks for groups that stand still: less
+	// than a pass of an engine.
+	StillPace = 25 * time.Millisecond
+	// wokeAfter times that pace is a pause in which this process did not run.
+	wokeAfter = 2
+)
+
+// leave cuts the connections of exchanges so that their requests go on at other
+// servers, as far as there are some; sound asks for ones that did not fail lately.
+func (f *Forwarder) leave(still []*exchange, sound bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	failed := map[identifier.Server]bool{}
+	for _, x := range still {
+		if x.over || x.leftBehind || !x.canMove(sound) {
+			continue
+		}
+		x.leftBehind = true
+		f.counts.moved.Inc(1)
+		_ = x.conn.SetDeadline(time.Unix(1, 0))
+		if !failed[x.server] {
+			failed[x.server] = true
+			f.chooser.Failed(time.Now(), x.server)
+		}
+	}
+}
+
+// canMove reports whether the request of a running exchange may go on at another
+// server, and takes that repeat from the budget, so that it does not leave its
+// server for nothing. The caller holds mu.
+func (x *exchange) canMove(sound bool) bool {
+	q, f := x.q, x.q.f
+	if !q.route.Repeatable() || x.run >= q.route.MaxAttempts {
+		return false
+	}
 	a := chooser.Ask{
-		Service: q.service, PromptTokens: q.ask.PromptTokens, Urgent: true, Tried: []identifier.Server{x.server},
+		Service: q.service, PromptTokens: q.ask.PromptTokens, Urgent: true, Sound: sound,
+		Tried: []identifier.Server{x.server},
 	}
 	if q.engine != nil {
 		a.Model = q.ask.Model
 	}
-	c := f.chooser.Choose(time.Now(), a)
-	return c.Server != nil && f.budget(q.service).Allows(time.Now()) && q.route.MaxAttempts > 1
+	now := time.Now()
+	if f.chooser.Choose(now, a).Server == nil || !f.budget(q.service).Repeat(now) {
+		return false
+	}
+	x.prepaid = true
+	return true
 }
 
 // Doubt is what this front's requests show of one server.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -134,6 +134,8 @@
 	fronts  int
 	active  map[*exchange]struct{}
 	demands map[demandKey]*Demand
+	// swept is when SweepStill was called last.
+	swept time.Time
 
 	counts counts
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -174,6 +175,47 @@
 	}
 }
 
+// TestStreamLeavesAGroupThatStandsStill replays the loss of a member: the head
+// goes on and gives no events. The stream has to go on elsewhere within the pause
+// that its route allows.
+func TestStreamLeavesAGroupThatStandsStill(t *testing.T) {
+	const pauseObjective = 200 * time.Millisecond
+	stuck := func(c net.Conn, r *http.Request) bool {
+		events(1, 4, true)(c, r)
+		return silent(c, r)
+	}
+	for name, test := range map[string]struct {
+		second func(net.Conn, *http.Request) bool
+		most   time.Duration
+	}{
+		"the other group moves": {events(5, 8, false), 8*50*time.Millisecond + pauseObjective},
+		// The last attempt is not given up before its time.
+		"the other group stands still for a while": {func(c net.Conn, r *http.Request) bool {
+			const standstill = 700 * time.Millisecond
+			_, _ = fmt.Fprintf(c, streamHead, r.Header.Get("Id"))
+			writeEvents(c, 5, 6)
+			time.Sleep(standstill)
+			writeEvents(c, 7, 8)
+			_, _ = fmt.Fprint(c, "0\r\n\r\n")
+			return true
+		}, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, answers{"first": stuck, "second": test.second}, func(w *world) {
+				w.beHeads()
+				began := time.Now()
+				a := w.call(context.Background(), "POST", "/chat/x", "body", "Model", "m")
+				if a.cut || !strings.HasSuffix(a.body, "data: e8\n\n") {
+					t.Errorf("cut %v, body %q", a.cut, a.body)
+				}
+				if took := time.Since(began); took > test.most {
+					t.Errorf("took %s, more than %s", took, test.most)
+				}
+			})
+		})
+	}
+}
+
 func TestWorkEndsWithItsCaller(t *testing.T) {
 	left := make(chan struct{})
 	inWorld(t, answers{"first": func(c net.Conn, _ *http.Request) bool {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -40,6 +40,8 @@
 	tried      []identifier.Server
 	runs       int
 	rejections int
+	// prepaid is set when the next repeat was taken from the budget already.
+	prepaid bool
 	// unreached counts connections that could not be opened.
 	unreached int
 	lastFault string
@@ -181,9 +183,10 @@
 	}
 	q.f.mu.Lock()
 	defer q.f.mu.Unlock()
-	if !q.f.budget(q.service).Repeat(time.Now()) {
+	if !q.prepaid && !q.f.budget(q.service).Repeat(time.Now()) {
 		return false
 	}
+	q.prepaid = false
 	q.f.counts.repeats.Inc(1)
 	return true
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -95,11 +95,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	q.lastFault = err.Error()
-	x.note(func(c *chooser.Chooser, now time.Time) {
-		if q.ctx.Err() == nil {
-			c.Failed(now, x.server)
-		}
-	})
+	x.noteBroken()
 	x.finish(false, false)
 	return fateUnknown
 }
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -245,10 +245,14 @@
 func (f *Front) sweepLoop(ctx context.Context) {
 	ticker := time.NewTicker(sweepPace)
 	defer ticker.Stop()
+	still := time.NewTicker(forwarder.StillPace)
+	defer still.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-still.C:
+			f.forwarder.SweepStill(time.Now())
 		case now := <-ticker.C:
 			f.forwarder.Sweep(now)
 			f.pool.Sweep(now)
