grouper: a group that reads long prompts is none that stands still

The requests of a closed group make the passes of the others longer, and those were closed in turn. Fronts judged their own streams by prompts that they had not heard of.

Change: the core waits for the longest pass that the engine's figures allow, the lag of the reports and 40 ms, 0.45 s at least. A front also takes 1.25 times the longest pause that was usual lately at groups of the model, and takes a stream elsewhere early only if its next event is still on time there. The engine's chunk is read from the catalog.

Tests: TestLongPassesAreNoStandstill, which fails with the old bound; more cases of standing still.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -115,6 +115,8 @@
 	PerThousandTokens time.Duration
 	// ReadPerSecond is the number of prompt tokens read in a second.
 	ReadPerSecond float64
+	// Chunk is the most prompt tokens read in one token step, 0 for no bound.
+	Chunk int
 	// LoadsPerSecond is the most loads from the weight store that may start in
 	// a second, LoadsAtOnce the number that run at full speed.
 	LoadsPerSecond float64
@@ -274,10 +276,26 @@
 	return time.Duration(float64(tokens) / e.ReadPerSecond * m.Pace * float64(time.Second))
 }
 
+// usualContext is the context of one request, in thousand tokens, for estimates.
+const usualContext = 1.5
+
+// PassTime is the time of one pass of a group of a model that writes n answers and
+// reads nothing.
+func (e *Engine) PassTime(m Model, n int) time.Duration {
+	perRequest := e.PerRequest + time.Duration(usualContext*float64(e.PerThousandTokens))
+	step := float64(e.Step) + float64(n)*float64(perRequest)
+	return time.Duration(step * float64(e.Stride) * m.Pace)
+}
+
+// LongestPass is the time of a pass of a group that writes all the answers and
+// reads all the prompts that it can.
+func (e *Engine) LongestPass(m Model) time.Duration {
+	return e.PassTime(m, e.Slots) + e.ReadTime(m, e.Stride*e.Chunk)
+}
+
 // Cost estimates the engine time of a request: reading its prompt, and its part
 // of the passes that write its answer while all places are taken.
 func (e *Engine) Cost(model string, prompt, answer int) time.Duration {
-	const usualContext = 1.5 // thousand tokens of one request
 	m, ok := e.Model(model)
 	if !ok || e.ReadPerSecond <= 0 || e.Slots <= 0 {
 		return 0
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -117,6 +117,8 @@
 	// byID holds all servers.
 	byID map[identifier.Server]*tracker.Server
 	work map[identifier.Server]*work
+	// pauses holds the usual pauses by model.
+	pauses map[string]*pauseMeter
 	// awake is when this process last went on after it had not run.
 	awake time.Time
 	// near, far and drawn are scratch space of Choose.
@@ -350,7 +352,7 @@
 	}
 	m, _ := e.Model(a.Model)
 	unread := w.unread + w.othersUnread + a.PromptTokens
-	pass := passTime(e, m, min(running, e.Slots))
+	pass := e.PassTime(m, min(running, e.Slots))
 	read := e.ReadTime(m, unread)
 	wait := time.Duration(0)
 	if over := running + 1 - e.Slots; over > 0 {
@@ -361,14 +363,6 @@
 	return wait + read + pass + pass/2
 }
 
-// passTime is the time of one pass of an engine that runs n requests.
-func passTime(e *cataloger.Engine, m cataloger.Model, n int) time.Duration {
-	const usualContext = 1.5 // thousand tokens of one request
-	perRequest := e.PerRequest + time.Duration(usualContext*float64(e.PerThousandTokens))
-	step := float64(e.Step) + float64(n)*float64(perRequest)
-	return time.Duration(step * float64(e.Stride) * m.Pace)
-}
-
 // spread returns a time to come back that is different for each caller, so that
 // they do not all come at once.
 func (c *Chooser) spread(late time.Duration) time.Duration {
--- a/internal/chooser/standstill.go
+++ b/internal/chooser/standstill.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"math"
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
@@ -21,10 +22,35 @@
 	// usualPasses is how many times the predicted pass the mean pause between two
 	// events is on a server as fast as declared: it reads prompts meanwhile.
 	usualPasses = 1.5
-	// paceWeight is the weight of one pause in that mean.
+	// paceWeight is the weight of one pause in that mean, and mostPace bounds it.
 	paceWeight = 0.1
+	mostPace   = 10
+	// longestFactor times the longest pause that was usual lately is the least
+	// silence that counts: prompts of other fronts are read that this one has not
+	// heard of. That pause counts half after longestHalf.
+	longestFactor = 1.25
+	longestHalf   = 10 * time.Second
 )
 
+// pauseMeter keeps the longest pause between two events at the groups of a model.
+type pauseMeter struct {
+	longest time.Duration
+	at      time.Time
+}
+
+func (p *pauseMeter) now(now time.Time) time.Duration {
+	if p == nil {
+		return 0
+	}
+	return time.Duration(float64(p.longest) * math.Exp2(-now.Sub(p.at).Seconds()/longestHalf.Seconds()))
+}
+
+func (p *pauseMeter) note(now time.Time, pause time.Duration) {
+	if pause >= p.now(now) {
+		p.longest, p.at = pause, now
+	}
+}
+
 // Woke tells that this process did not run until now, so that silence until now
 // says nothing of servers.
 func (c *Chooser) Woke(now time.Time) { c.awake = now }
@@ -44,21 +70,24 @@
 	if silence <= stillSlack {
 		return false
 	}
-	bound, ok := c.stillBound(id, w)
+	bound, ok := c.stillBound(now, id, w)
 	return ok && silence > bound
 }
 
-func (c *Chooser) stillBound(id identifier.Server, w *work) (time.Duration, bool) {
+func (c *Chooser) stillBound(now time.Time, id identifier.Server, w *work) (time.Duration, bool) {
 	e, m := c.modelAt(id)
 	if e == nil {
 		return 0, false
 	}
-	pass := c.passAt(e, m, w)
-	slowness := max(w.pace/usualPasses, 1)
-	unread := w.unread + w.othersUnread
-	return time.Duration(stillPasses*slowness*float64(pass)) + e.ReadTime(m, unread) + stillSlack, true
+	pass := float64(c.passAt(e, m, w)) * w.slowness()
+	bound := time.Duration(stillPasses*pass) + e.ReadTime(m, w.unread+w.othersUnread) + stillSlack
+	longest := float64(c.pauses[m.Name].now(now)) * longestFactor
+	return max(bound, time.Duration(longest)), true
 }
 
+// slowness is how many times longer than declared a server's passes take.
+func (w *work) slowness() float64 { return max(w.pace/usualPasses, 1) }
+
 // modelAt returns the engine and the model of a group's head, or nil.
 func (c *Chooser) modelAt(id identifier.Server) (*cataloger.Engine, cataloger.Model) {
 	s, svc := c.byID[id], c.serviceOf(id)
@@ -73,11 +102,11 @@
 }
 
 func (c *Chooser) passAt(e *cataloger.Engine, m cataloger.Model, w *work) time.Duration {
-	return passTime(e, m, min(w.running+w.othersRunning, e.Slots))
+	return e.PassTime(m, min(w.running+w.othersRunning, e.Slots))
 }
 
 // Paused notes the pause between two events of one answer.
-func (c *Chooser) Paused(id identifier.Server, pause time.Duration) {
+func (c *Chooser) Paused(now time.Time, id identifier.Server, pause time.Duration) {
 	e, m := c.modelAt(id)
 	if e == nil {
 		return
@@ -90,5 +119,16 @@
 	if w.pace == 0 {
 		w.pace = usualPasses
 	}
-	w.pace += paceWeight * (float64(pause)/float64(pass) - w.pace)
+	w.pace += paceWeight * (min(float64(pause)/float64(pass), mostPace) - w.pace)
+	if float64(pause) > float64(e.LongestPass(m))*w.slowness() {
+		// It is none of its passes.
+		return
+	}
+	if c.pauses == nil {
+		c.pauses = map[string]*pauseMeter{}
+	}
+	if c.pauses[m.Name] == nil {
+		c.pauses[m.Name] = &pauseMeter{}
+	}
+	c.pauses[m.Name].note(now, pause)
 }
--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -15,6 +15,8 @@
 // front is what this process knows of a front that pulls from it.
 type front struct {
 	pulled time.Time
+	// wait is how long its pulls are held.
+	wait   time.Duration
 	loads  []*peerv1.ServerLoad
 	doubts []*peerv1.ServerDoubt
 }
@@ -32,10 +34,11 @@
 // answerPull records a front's report and answers once something has changed or
 // the front's wait is over.
 func (c *Coordinator) answerPull(ctx context.Context, from identifier.VM, p *peerv1.FrontPull) *peerv1.Envelope {
-	deadline := time.NewTimer(time.Duration(p.GetWaitMs()) * time.Millisecond)
+	wait := time.Duration(p.GetWaitMs()) * time.Millisecond
+	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	c.mu.Lock()
-	c.fronts[from] = &front{pulled: time.Now(), loads: p.GetLoads(), doubts: p.GetDoubts()}
+	c.fronts[from] = &front{pulled: time.Now(), wait: wait, loads: p.GetLoads(), doubts: p.GetDoubts()}
 	c.served.add(p.GetDemands())
 	for {
 		behind := p.GetRegistry() != c.registryID || p.GetRevision() != c.registry.Revision()
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -97,7 +97,7 @@
 	state, _ := c.keeper.State()
 	v := grouper.View{
 		Registry: &c.registry, Catalog: c.catalog, Evacuated: map[identifier.FailureDomain]bool{},
-		Doubts: map[identifier.Server]grouper.Doubt{}, Demand: c.demand(now),
+		Doubts: map[identifier.Server]grouper.Doubt{}, Demand: c.demand(now), ReportLag: c.reportLag(),
 	}
 	for _, d := range state.Evacuated {
 		v.Evacuated[d] = true
@@ -111,6 +111,17 @@
 	return v
 }
 
+// reportLag is by how much an answer that a front has had may be missing in the
+// sum of all reports: fronts report with each pull, core processes with each
+// hello. The caller holds mu.
+func (c *Coordinator) reportLag() time.Duration {
+	longest := time.Duration(0)
+	for _, f := range c.fronts {
+		longest = max(longest, f.wait)
+	}
+	return longest + helloPace + step
+}
+
 // demand returns the engine time asked for in each second by model, in seconds,
 // over the last span. The caller holds mu.
 func (c *Coordinator) demand(now time.Time) map[string]float64 {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -266,7 +266,7 @@
 	pause := now.Sub(x.moved)
 	x.moved = now
 	if x.begun {
-		f.chooser.Paused(x.server, pause)
+		f.chooser.Paused(now, x.server, pause)
 		f.chooser.Moved(now, x.server)
 		return
 	}
@@ -337,13 +337,15 @@
 )
 
 // leave cuts the connections of exchanges so that their requests go on at other
-// servers, as far as there are some; sound asks for ones that did not fail lately.
-func (f *Forwarder) leave(still []*exchange, sound bool) {
+// servers, as far as there are some. An early leave goes by less evidence. Where
+// the next event would be late anyway it is better to wait for more, since each
+// move uses up an attempt.
+func (f *Forwarder) leave(still []*exchange, early bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	failed := map[identifier.Server]bool{}
 	for _, x := range still {
-		if x.over || x.leftBehind || !x.canMove(sound) {
+		if x.over || x.leftBehind || !x.canMove(early) {
 			continue
 		}
 		x.leftBehind = true
@@ -359,26 +361,36 @@
 // canMove reports whether the request of a running exchange may go on at another
 // server, and takes that repeat from the budget, so that it does not leave its
 // server for nothing. The caller holds mu.
-func (x *exchange) canMove(sound bool) bool {
+func (x *exchange) canMove(early bool) bool {
 	q, f := x.q, x.q.f
 	if !q.route.Repeatable() || x.run >= q.route.MaxAttempts {
 		return false
 	}
 	a := chooser.Ask{
-		Service: q.service, PromptTokens: q.ask.PromptTokens, Urgent: true, Sound: sound,
+		Service: q.service, PromptTokens: q.ask.PromptTokens, Urgent: true, Sound: early,
 		Tried: []identifier.Server{x.server},
 	}
 	if q.engine != nil {
 		a.Model = q.ask.Model
 	}
 	now := time.Now()
-	if f.chooser.Choose(now, a).Server == nil || !f.budget(q.service).Repeat(now) {
+	c := f.chooser.Choose(now, a)
+	if c.Server == nil || early && !x.keepsObjective(now, c.Expected) || !f.budget(q.service).Repeat(now) {
 		return false
 	}
 	x.prepaid = true
 	return true
 }
 
+// keepsObjective reports whether the next event is still on time if another server
+// gives it after that time. The caller holds mu.
+func (x *exchange) keepsObjective(now time.Time, expected time.Duration) bool {
+	if x.begun {
+		return now.Sub(x.moved)+expected <= x.q.route.GapObjective
+	}
+	return now.Sub(x.q.began)+expected <= x.q.route.Objective
+}
+
 // Doubt is what this front's requests show of one server.
 type Doubt struct {
 	Server      identifier.Server
--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -72,14 +72,18 @@
 // fleet runs a Grouper against engines and checks the rules on the engines'
 // side.
 type fleet struct {
-	now      time.Time
-	start    time.Time
-	engines  map[identifier.Server]*engine
-	order    []identifier.Server
-	registry tracker.Registry
-	catalog  *cataloger.Catalog
-	grouper  Grouper
-	term     uint64
+	// pass is the time of a pass of every group, and reportLag how old the fronts'
+	// reports are.
+	pass      time.Duration
+	reportLag time.Duration
+	now       time.Time
+	start     time.Time
+	engines   map[identifier.Server]*engine
+	order     []identifier.Server
+	registry  tracker.Registry
+	catalog   *cataloger.Catalog
+	grouper   Grouper
+	term      uint64
 	// unanswered is how many of the next orders get no answer and are carried
 	// out late.
 	unanswered int
@@ -159,6 +163,7 @@
 	}
 	orders, notes := f.grouper.Step(f.now, View{
 		Registry: &f.registry, Catalog: f.catalog, Evacuated: f.outs, Doubts: f.doubts(), Demand: f.demand,
+		ReportLag: f.reportLag,
 	})
 	for _, n := range notes {
 		f.logf("%s %s %s", n.Text, n.Group.Model, strings.Join(names(n.Group.Members), ","))
@@ -414,6 +419,10 @@
 func (f *fleet) lastAnswer(e *engine) time.Time {
 	if e.alive && !e.far && e.member.State == tracker.Open && f.whole(e) {
 		e.answered = f.now
+		if f.pass > 0 {
+			// The end of the last pass of which the reports can know.
+			e.answered = f.now.Add(-f.reportLag).Truncate(f.pass)
+		}
 	}
 	return e.answered
 }
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -183,6 +183,32 @@
 	}
 }
 
+// TestLongPassesAreNoStandstill replays a large model on a grown deployment: its
+// groups read many long prompts between two events, and 79 fronts report with a
+// lag. When such a group was closed, its requests made the passes of the others
+// longer, which were closed in turn.
+func TestLongPassesAreNoStandstill(t *testing.T) {
+	f := newFleet(t, testModels[:1], map[identifier.FabricDomain]int{"f1": 9})
+	e := f.catalog.Services[0].Engine
+	e.Chunk = 2048
+	f.run(45 * time.Second)
+	f.demand = map[string]float64{testModels[0].Name: 2}
+	before := f.serving()[testModels[0].Name]
+	f.pass, f.reportLag = e.LongestPass(testModels[0]), 230*time.Millisecond
+	f.log = nil
+	f.run(20 * time.Second)
+	if len(f.log) > 0 || f.serving()[testModels[0].Name] != before {
+		t.Errorf("groups were closed:\n%s", strings.Join(f.log, "\n"))
+	}
+	for _, member := range f.find("member@f1") {
+		f.disturb(t, "kill", member)
+	}
+	f.run(f.pass + f.reportLag + 500*time.Millisecond)
+	if len(f.log) == 0 {
+		t.Error("a group that lost a member was not closed in time")
+	}
+}
+
 // TestRulesHold disturbs a fleet at random. Whatever happens, no server joins a
 // second group while the head of its first serves, no group opens without every
 // member ready, and loads keep their rate; once the disturbances end, groups
--- a/internal/grouper/life.go
+++ b/internal/grouper/life.go
@@ -153,8 +153,9 @@
 	doubt, doubted := g.view.Doubts[gr.info.Members[0]]
 	// Reports of answers are on their way for some hundred milliseconds.
 	answers := doubted && doubt.AnsweredAgo < g.Policy.Beat
-	stalled := doubted && (doubt.Stalled >= stalledRequests && doubt.AnsweredAgo >= stallEvidence ||
-		doubt.Stalled > 0 && doubt.AnsweredAgo >= lonelyEvidence)
+	bound := g.stallBound(gr)
+	stalled := doubted && (doubt.Stalled >= stalledRequests && doubt.AnsweredAgo >= bound ||
+		doubt.Stalled > 0 && doubt.AnsweredAgo >= bound+lonelyExtra)
 	switch {
 	case headIs == lost:
 		g.dissolve(gr, headText)
@@ -183,6 +184,17 @@
 	}
 }
 
+// stallBound is how long no front must have had an answer of a head. A head that
+// reads many long prompts between two events must not count as standing still:
+// its requests would go to the other groups and make their passes longer too.
+func (g *Grouper) stallBound(gr *group) time.Duration {
+	pass := time.Duration(0)
+	if e := g.engine(gr.service); e != nil {
+		pass = e.LongestPass(gr.model)
+	}
+	return max(stallEvidence, pass+g.view.ReportLag+stallSlack)
+}
+
 // probeMembers asks every member whether it answers, so that the dead one is not
 // taken into the next group.
 func (g *Grouper) probeMembers(gr *group) {
@@ -295,7 +307,7 @@
 		return
 	}
 	d, doubted := g.view.Doubts[head.ID]
-	if gr.unheeded > 0 && gr.cut && doubted && d.AnsweredAgo >= stallEvidence {
+	if gr.unheeded > 0 && gr.cut && doubted && d.AnsweredAgo >= g.stallBound(gr) {
 		g.abandon(gr, gr.info.Reason+"; the head does not answer the order to close")
 		return
 	}
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -117,6 +117,9 @@
 	Catalog   *cataloger.Catalog
 	Evacuated map[identifier.FailureDomain]bool
 	Doubts    map[identifier.Server]Doubt
+	// ReportLag is by how much an answer that a front has had may be missing in
+	// Doubts.
+	ReportLag time.Duration
 	// Demand is the engine time asked for in each second, by model.
 	Demand map[string]float64
 }
@@ -188,13 +191,16 @@
 	formSlack = 5 * time.Second
 	// holdAfterFailure keeps a server out of new groups after it failed to join.
 	holdAfterFailure = 4 * time.Second
-	// stallEvidence is how long no request at a head must have moved before its
-	// group counts as standing still: several passes of the engine.
+	// stallEvidence is how long no request at a head must have moved at least
+	// before its group counts as standing still: several passes of the engine. It
+	// is longer where the longest pass, the lag of the reports and stallSlack for
+	// the network take longer.
 	stallEvidence = 450 * time.Millisecond
+	stallSlack    = 40 * time.Millisecond
 	// stalledRequests is the least number of requests that must stand still for
-	// that long; a single one counts after lonelyEvidence.
+	// that long; a single one counts lonelyExtra later.
 	stalledRequests = 2
-	lonelyEvidence  = 800 * time.Millisecond
+	lonelyExtra     = 350 * time.Millisecond
 	// unreachableTries is the least number of failed connections that, with
 	// silence, count as the death of a head.
 	unreachableTries = 2
