forwarder: log why a request was taken elsewhere

Cause: a request that this front took off a silent server was logged with the network error of its own cut, i/o timeout, which reads as a fault of the network.

Change: the log names the server and how long it gave nothing.

Test: TestStreamLeavesAGroupThatStandsStill reads the log; it fails without this.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -46,9 +47,11 @@
 	expected time.Duration
 	begun    bool
 	// leftBehind is set when the request is to go on at another server, prepaid
-	// when that repeat was taken from the budget.
+	// when that repeat was taken from the budget; silence is how long it had
+	// waited then.
 	leftBehind bool
 	prepaid    bool
+	silence    time.Duration
 	over       bool
 }
 
@@ -195,19 +198,21 @@
 func (x *exchange) broken(err error) (*exchange, fate) {
 	q := x.q
 	q.runs++
-	q.lastFault = err.Error()
-	x.noteBroken()
+	x.noteBroken(err)
 	x.finish(false, false)
 	return nil, fateUnknown
 }
 
-// noteBroken notes a failure of the server, unless this side ended the exchange.
-func (x *exchange) noteBroken() {
-	if x.q.ctx.Err() != nil {
-		return
-	}
+// noteBroken notes why the exchange has no usable answer, and a failure of the
+// server unless this side ended the exchange.
+func (x *exchange) noteBroken(err error) {
+	q := x.q
+	q.lastFault = err.Error()
 	x.note(func(c *chooser.Chooser, now time.Time) {
-		if !x.leftBehind {
+		switch {
+		case x.leftBehind:
+			q.lastFault = fmt.Sprintf("taken elsewhere, %s gave nothing for %s", x.server, x.silence)
+		case q.ctx.Err() == nil:
 			c.Failed(now, x.server)
 		}
 	})
@@ -349,6 +354,7 @@
 			continue
 		}
 		x.leftBehind = true
+		x.silence = time.Since(x.moved).Round(time.Millisecond)
 		f.counts.moved.Inc(1)
 		_ = x.conn.SetDeadline(time.Unix(1, 0))
 		if !failed[x.server] {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -9,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 type answers = map[string]func(net.Conn, *http.Request) bool
@@ -203,11 +206,16 @@
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, answers{"first": stuck, "second": test.second}, func(w *world) {
 				w.beHeads()
+				var logged bytes.Buffer
+				w.Logger = log.NewLogfmtLogger(&logged)
 				began := time.Now()
 				a := w.call(context.Background(), "POST", "/chat/x", "body", "Model", "m")
 				if a.cut || !strings.HasSuffix(a.body, "data: e8\n\n") {
 					t.Errorf("cut %v, body %q", a.cut, a.body)
 				}
+				if !strings.Contains(logged.String(), "taken elsewhere, first gave nothing for") {
+					t.Errorf("the log does not say why the request moved: %s", logged.String())
+				}
 				if took := time.Since(began); took > test.most {
 					t.Errorf("took %s, more than %s", took, test.most)
 				}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -94,8 +94,7 @@
 		q.end(x.resp.StatusCode, reasonGone)
 		panic(http.ErrAbortHandler)
 	}
-	q.lastFault = err.Error()
-	x.noteBroken()
+	x.noteBroken(err)
 	x.finish(false, false)
 	return fateUnknown
 }
