grouper, coordinator: keep epochs and groups when placement authority returns in a term, and miss no catalog change

Cause of TestEpochsAreUniqueWithinTerm and TestSoak/9: BeginTerm counted epochs from zero although the process got the authority back in the term that it had before. No other process can have placed groups in between, so the Grouper now goes on with what it knew, and BeginTerm, if it is called twice for one term, lets the epochs go on.

Cause of TestFrontReceivesNewCatalog and TestFrontNotReadyAfterRevocationBound: runLoop took a new channel in each round, after applying the state; a change in between woke nobody. The channel now comes from the read whose state was applied.

Ruled out: a lost pull or a late front; the leader itself logged no catalog in force.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -281,14 +281,15 @@
 	ticker := time.NewTicker(loopInterval)
 	defer ticker.Stop()
 	var lastHello, lastReport time.Time
+	// Each channel comes with the state that was applied last, so that no change
+	// in between is missed.
+	stateChanged := c.applyCatalogState()
 	for {
-		var stateChanged <-chan struct{}
-		_, stateChanged = c.keeper.State()
 		select {
 		case <-ctx.Done():
 			return
 		case <-stateChanged:
-			c.applyCatalogState()
+			stateChanged = c.applyCatalogState()
 		case <-ticker.C:
 		}
 		now := time.Now()
@@ -306,9 +307,10 @@
 }
 
 // applyCatalogState decodes the catalog if the log has accepted a newer one, and
-// wakes the pulls so that fronts receive the new state.
-func (c *Coordinator) applyCatalogState() {
-	state, _ := c.keeper.State()
+// wakes the pulls so that fronts receive the new state. It returns a channel that
+// is closed at the next change of that state.
+func (c *Coordinator) applyCatalogState() <-chan struct{} {
+	state, changed := c.keeper.State()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(state.Data) > 0 && (c.catalog == nil || c.catalog.Version != state.Version) {
@@ -326,6 +328,7 @@
 	_ = level.Info(c.Logger).Log("msg", "catalog state changed", "version", state.Version, "evacuated", len(state.Evacuated))
 	c.registry.AdvanceRevision()
 	c.notifyChanged()
+	return changed
 }
 
 // notifyChanged wakes the pulls that wait for a change. The caller must hold mu.
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -14,9 +14,10 @@
 // placement is the state of the leader's placement of replica groups.
 type placement struct {
 	grouper grouper.Grouper
-	// term is the log term in which this process holds placement authority, 0 if
-	// it holds none.
+	// term is the log term in which this process last held the placement
+	// authority, 0 if it never did. held is set while it holds the authority.
 	term          replicator.Term
+	held          bool
 	demandSamples []demandSample
 	// lastDemand is the demand that measureDemand computed last, for logSurvey.
 	lastDemand map[string]float64
@@ -54,10 +55,10 @@
 	defer c.mu.Unlock()
 	p := &c.placement
 	if !ok {
-		if p.term != 0 {
+		if p.held {
 			_ = level.Info(c.Logger).Log("msg", "placement authority is lost", "term", p.term)
 		}
-		p.term = 0
+		p.held = false
 		return
 	}
 	if c.catalog == nil {
@@ -66,10 +67,16 @@
 	if p.term != term {
 		firstStart := c.Settings.FirstStart && term <= maxFirstStartTerm && now.Sub(c.startedAt) < firstStartWindow
 		p.grouper.BeginTerm(now, uint64(term), firstStart, c.startedAt)
-		p.term = term
+		p.term, p.held = term, true
 		p.demandSamples = nil
 		_ = level.Info(c.Logger).Log("msg", "placement authority is held", "term", term, "first_start", firstStart)
 	}
+	if !p.held {
+		// No other process can have held the authority since, because it would have
+		// been in a later term. So what the Grouper knows of its groups still holds.
+		p.held = true
+		_ = level.Info(c.Logger).Log("msg", "placement authority is held again", "term", term)
+	}
 	orders, decisions := p.grouper.Step(now, c.grouperView(now))
 	for _, d := range decisions {
 		_ = level.Info(c.Logger).Log("msg", d.Message, "group", d.Group.ID, "model", d.Group.Model, "fabric", d.Group.Fabric,
@@ -164,7 +171,7 @@
 }
 
 // sendOrder sends one order and passes its outcome to the Grouper, unless this
-// process has lost the authority of the term in which the order was decided.
+// process has held the authority of a later term since.
 func (c *Coordinator) sendOrder(ctx context.Context, term replicator.Term, o grouper.Order) {
 	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -115,7 +115,11 @@
 // registry has received announcements since listeningSince.
 func (g *Grouper) BeginTerm(now time.Time, fencingToken uint64, first bool, listeningSince time.Time) {
 	g.Policy.fillDefaults()
-	g.fencingToken, g.epochsUsed, g.firstStart = fencingToken, 0, first
+	if g.fencingToken != fencingToken {
+		// Within one term epochs go on, because groups of earlier epochs may serve.
+		g.epochsUsed = 0
+	}
+	g.fencingToken, g.firstStart = fencingToken, first
 	g.learningEnds = listeningSince.Add(g.Policy.LearningPeriod)
 	if first {
 		// Wait until no more servers announce themselves, so that there are enough
