grouper: learn from probes which member of a stalled group is slow

Ruled out: a lost member; all probes were answered and all joins accepted. Servers state their pace in the report that the probe already asks for. Members of a stalled group are now probed before they are used again, slow ones (twice the typical pace) stay out of groups until a later probe finds them fast.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -98,7 +98,7 @@
 // OrderSender sends placement orders to backend servers. SendOrder returns once
 // the server has responded or ctx is done.
 type OrderSender interface {
-	SendOrder(ctx context.Context, o grouper.Order) grouper.Outcome
+	SendOrder(ctx context.Context, o grouper.Order) grouper.Reply
 }
 
 // Network opens listeners and connections.
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -186,8 +186,8 @@
 // unresponsiveOrderSender returns OutcomeUnanswered for every order.
 type unresponsiveOrderSender struct{}
 
-func (unresponsiveOrderSender) SendOrder(context.Context, grouper.Order) grouper.Outcome {
-	return grouper.OutcomeUnanswered
+func (unresponsiveOrderSender) SendOrder(context.Context, grouper.Order) grouper.Reply {
+	return grouper.Reply{}
 }
 
 // emptyDialect is the dialect of fronts that get no requests.
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -170,21 +170,21 @@
 	return out
 }
 
-// sendOrder sends one order and passes its outcome to the Grouper, unless this
+// sendOrder sends one order and passes the reply to the Grouper, unless this
 // process has held the authority of a later term since.
 func (c *Coordinator) sendOrder(ctx context.Context, term replicator.Term, o grouper.Order) {
 	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	outcome := c.OrderSender.SendOrder(orderCtx, o)
-	c.orderCounters[outcome].Inc(1)
+	reply := c.OrderSender.SendOrder(orderCtx, o)
+	c.orderCounters[reply.Outcome].Inc(1)
 	c.orderDuration.Update(time.Since(sentAt).Milliseconds())
 	_ = level.Info(c.Logger).Log("msg", "order", "action", o.Action, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
-		"model", o.Model, "cut", o.CutRequests, "outcome", outcome, "took", time.Since(sentAt), "reason", o.Reason)
+		"model", o.Model, "cut", o.CutRequests, "outcome", reply.Outcome, "slowdown", reply.Slowdown, "took", time.Since(sentAt), "reason", o.Reason)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.placement.term == term {
-		c.placement.grouper.HandleOutcome(time.Now(), o, outcome)
+		c.placement.grouper.HandleReply(time.Now(), o, reply)
 	}
 }
 
--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -22,6 +22,8 @@
 	openTime          = 300 * time.Millisecond
 	stallTimeout      = 6 * time.Second
 	testFabric        = "f1"
+	// usualPassTime is the time between two events of a group under load.
+	usualPassTime = 80 * time.Millisecond
 )
 
 // engine simulates a backend server that follows the platform's rules for groups.
@@ -56,6 +58,9 @@
 	// was ready.
 	readyEpochs map[uint64]bool
 	lateOrders  []lateOrder
+	// slowdown is how many times longer than declared the engine's steps take. 0 stands
+	// for 1.
+	slowdown float64
 	// lastResponseAt is when a front process last received an event of the engine.
 	lastResponseAt time.Time
 }
@@ -167,7 +172,7 @@
 	outcomes := f.pendingOutcomes
 	f.pendingOutcomes = nil
 	for _, o := range outcomes {
-		f.grouper.HandleOutcome(f.now, o.order, o.outcome)
+		f.grouper.HandleReply(f.now, o.order, f.replyTo(o))
 	}
 	orders, decisions := f.grouper.Step(f.now, View{
 		Registry: &f.registry, Catalog: f.catalog, Evacuated: f.evacuated, Suspicions: f.suspicions(), Demand: f.demand,
@@ -433,14 +438,36 @@
 func (f *fleet) lastResponse(e *engine) time.Time {
 	if e.alive && !e.cutFromFronts && e.membership.State == tracker.StateOpen && f.isComplete(e) {
 		e.lastResponseAt = f.now
-		if f.passTime > 0 {
+		if pass := f.passTimeOf(e); pass > 0 {
 			// The end of the last pass that the reports can show.
-			e.lastResponseAt = f.now.Add(-f.reportLag).Truncate(f.passTime)
+			e.lastResponseAt = f.now.Add(-f.reportLag).Truncate(pass)
 		}
 	}
 	return e.lastResponseAt
 }
 
+// passTimeOf returns the time between two events of a head's group, which runs at the
+// pace of its slowest member.
+func (f *fleet) passTimeOf(head *engine) time.Duration {
+	slowdown := 1.0
+	for _, id := range head.members {
+		slowdown = max(slowdown, f.engines[id].slowdown)
+	}
+	if slowdown > 1 {
+		return time.Duration(slowdown * float64(max(f.passTime, usualPassTime)))
+	}
+	return f.passTime
+}
+
+// replyTo returns the reply to an order that has been delivered.
+func (f *fleet) replyTo(o orderOutcome) Reply {
+	r := Reply{Outcome: o.outcome}
+	if o.order.Action == ActionProbe && o.outcome == OutcomeDone {
+		r.Slowdown = max(f.engines[o.order.Server].slowdown, 1)
+	}
+	return r
+}
+
 // servingGroups counts the open and complete groups by model.
 func (f *fleet) servingGroups() map[string]int {
 	out := map[string]int{}
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -17,8 +17,8 @@
 	domain  identifier.FabricDomain
 	service identifier.Service
 	engine  *cataloger.Engine
-	// live holds all live servers, ungrouped those of them in no group, and free
-	// those of them that a new group may take now.
+	// live holds all live servers, ungrouped those of them that are in no group and
+	// not slow, and free those of them that a new group may take now.
 	live      []*tracker.Server
 	ungrouped []*tracker.Server
 	free      []*tracker.Server
@@ -34,7 +34,7 @@
 		domain  identifier.FabricDomain
 		service identifier.Service
 	}
-	grouped := map[identifier.Server]bool{}
+	grouped := g.groupedServers()
 	byKey := map[key]*fabricPool{}
 	var all []*fabricPool
 	pool := func(k key) *fabricPool {
@@ -47,11 +47,6 @@
 		return f
 	}
 	for _, gr := range g.sortedGroups() {
-		for _, id := range gr.info.Members {
-			if !gr.leftMembers[id] {
-				grouped[id] = true
-			}
-		}
 		f := pool(key{gr.info.Fabric, gr.service})
 		f.groups = append(f.groups, gr)
 	}
@@ -61,7 +56,7 @@
 		}
 		f := pool(key{s.Fabric, s.Service})
 		f.live = append(f.live, s)
-		if grouped[s.ID] {
+		if grouped[s.ID] || g.isSlow(s) {
 			continue
 		}
 		f.ungrouped = append(f.ungrouped, s)
@@ -76,6 +71,19 @@
 	return all
 }
 
+// groupedServers returns the servers that are in a group and have not left it.
+func (g *Grouper) groupedServers() map[identifier.Server]bool {
+	grouped := map[identifier.Server]bool{}
+	for _, gr := range g.groups {
+		for _, id := range gr.info.Members {
+			if !gr.leftMembers[id] {
+				grouped[id] = true
+			}
+		}
+	}
+	return grouped
+}
+
 func (g *Grouper) isLive(s *tracker.Server) bool {
 	return s.Usable() && !s.Silent && !g.view.Evacuated[s.Domain] &&
 		!g.failedProbe(s) && !g.records[s.ID].absentAt.After(s.LastHeartbeatAt)
@@ -84,7 +92,7 @@
 // isFree reports whether a live server in no group may join one now.
 func (g *Grouper) isFree(s *tracker.Server) bool {
 	r := g.records[s.ID]
-	if r.pendingOrder != nil || g.now.Before(r.excludedUntil) {
+	if r.pendingOrder != nil || r.probeDue || g.now.Before(r.excludedUntil) {
 		return false
 	}
 	ms := s.Membership
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -104,9 +104,14 @@
 	loadingModel string
 	loadDeadline time.Time
 	// probeFailedAt is when the server last did not respond to a probe, and probedAt
-	// when it was last probed.
+	// when it was last probed. probeDue keeps the server out of new groups until it
+	// has been probed.
 	probeFailedAt time.Time
 	probedAt      time.Time
+	probeDue      bool
+	probePending  bool
+	// slowdown is Reply.Slowdown of the last probe.
+	slowdown float64
 }
 
 // BeginTerm starts a term of the placement authority and drops the state of the
@@ -169,6 +174,7 @@
 	for _, gr := range g.sortedGroups() {
 		g.stepGroup(gr)
 	}
+	g.probeIdleServers()
 	if !now.Before(g.learningEnds) {
 		fs := g.fabricPools()
 		g.planGroups(fs)
@@ -188,10 +194,14 @@
 	return orders, decisions
 }
 
-// HandleOutcome records the outcome of an order that Step returned. It ignores
-// outcomes of orders that are no longer pending.
-func (g *Grouper) HandleOutcome(now time.Time, o Order, outcome Outcome) {
-	r := g.records[o.Server]
+// HandleReply records the reply to an order that Step returned. It ignores replies
+// to orders that are no longer pending.
+func (g *Grouper) HandleReply(now time.Time, o Order, reply Reply) {
+	r, outcome := g.records[o.Server], reply.Outcome
+	if r != nil && o.Action == ActionProbe {
+		r.recordProbe(now, reply)
+		return
+	}
 	if r == nil || r.pendingOrder == nil || r.pendingOrder.Action != o.Action || r.pendingOrder.Epoch != o.Epoch {
 		return
 	}
@@ -202,11 +212,6 @@
 	}
 	gr := g.groups[o.Group]
 	switch {
-	case o.Action == ActionProbe:
-		r.nextOrderAt = now
-		if outcome == OutcomeUnanswered || outcome == OutcomeAbsent {
-			r.probeFailedAt = now
-		}
 	case outcome == OutcomeAccepted || outcome == OutcomeDone:
 		r.nextOrderAt = now
 		r.lastAccepted, r.lastAcceptedAt = o, now
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -186,7 +186,7 @@
 	case memberIs == conditionLeaving:
 		g.endGroup(gr, false, memberText)
 	case stalled:
-		g.probeMembers(gr)
+		g.probeStalledMembers(gr)
 		g.endGroup(gr, true, fmt.Sprintf("%d requests are stalled, and the head has sent no response for %s", suspicion.StalledRequests, suspicion.SinceLastResponse))
 	default:
 		gr.headSilentSince = time.Time{}
@@ -205,19 +205,6 @@
 	return max(minStallTime, pass+g.view.ReportLag+networkSlack)
 }
 
-// probeMembers probes every member other than the head, so that a dead one is not
-// taken into the next group.
-func (g *Grouper) probeMembers(gr *group) {
-	for _, id := range gr.info.Members[1:] {
-		s, r := g.view.Registry.Get(id), g.records[id]
-		if s == nil || r == nil || r.pendingOrder != nil || g.now.Sub(r.probedAt) < silentHeadTimeout {
-			continue
-		}
-		r.probedAt = g.now
-		g.sendOrder(s, Order{Action: ActionProbe, Reason: "its group is stalled"})
-	}
-}
-
 // stepSilentHead abandons a group whose head is silent or gone, unless front
 // processes still receive responses from it. The head may be dead, or serve behind a
 // network partition. If the front processes report no Suspicion of the head, found
--- /dev/null
+++ b/internal/grouper/slow.go
@@ -0,0 +1,99 @@
+package grouper
+
+import (
+	"slices"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// Slow servers. A group runs at the pace of its slowest member, so one server whose
+// steps take many times longer than declared makes a whole group stall. Such a server
+// responds to everything. If its group were formed again from the same members, it
+// would stall and cut off its requests again and again. Therefore the members of a
+// group that stalled state their pace in the reply to a probe before they are used
+// again, and slow ones are kept out of new groups until a later probe finds them fast.
+
+const (
+	// minSlowdown is the slowdown, in multiples of the typical one of the service, from
+	// which on a server is kept out of groups.
+	minSlowdown = 2.0
+	// slowProbeInterval is the time between two probes of a slow server, and the least
+	// time between two probes of any server.
+	slowProbeInterval = time.Second
+)
+
+// probeStalledMembers probes every member of a stalled group, so that a dead or slow
+// one is not taken into the next group.
+func (g *Grouper) probeStalledMembers(gr *group) {
+	for _, id := range gr.info.Members {
+		if s, r := g.view.Registry.Get(id), g.records[id]; s != nil && r != nil {
+			r.probeDue = true
+			g.probe(s, r, "its group is stalled")
+		}
+	}
+}
+
+// probe sends a probe unless one is pending or the last one was recent. A probe
+// changes nothing at the server, so it may overlap with an order.
+func (g *Grouper) probe(s *tracker.Server, r *serverRecord, reason string) {
+	if r.probePending || g.now.Sub(r.probedAt) < slowProbeInterval {
+		return
+	}
+	r.probePending, r.probedAt = true, g.now
+	g.orders = append(g.orders, Order{
+		Action: ActionProbe, Server: s.ID, Address: s.Address, FencingToken: g.fencingToken, Reason: reason,
+	})
+}
+
+// probeIdleServers probes the servers in no group whose pace is not known since their
+// last group stalled, and the slow ones each slowProbeInterval.
+func (g *Grouper) probeIdleServers() {
+	grouped := g.groupedServers()
+	for _, s := range g.view.Registry.All() {
+		r := g.records[s.ID]
+		if r == nil || grouped[s.ID] || s.Silent || !s.Usable() {
+			continue
+		}
+		if r.probeDue || r.slowdown >= minSlowdown {
+			g.probe(s, r, "its pace is not known")
+		}
+	}
+}
+
+// recordProbe records the reply to a probe.
+func (r *serverRecord) recordProbe(now time.Time, reply Reply) {
+	r.probePending, r.probeDue = false, false
+	switch reply.Outcome {
+	case OutcomeUnanswered, OutcomeAbsent:
+		r.probeFailedAt = now
+	case OutcomeDone:
+		r.slowdown = reply.Slowdown
+	}
+	if reply.Outcome == OutcomeAbsent {
+		r.absentAt = now
+	}
+}
+
+// isSlow reports whether a server was found much slower than the typical server of its
+// service.
+func (g *Grouper) isSlow(s *tracker.Server) bool {
+	r := g.records[s.ID]
+	return r.slowdown >= minSlowdown && r.slowdown >= minSlowdown*g.typicalSlowdown(s)
+}
+
+// typicalSlowdown returns the median slowdown of the servers of a service. Servers
+// that were not probed count as fast as declared.
+func (g *Grouper) typicalSlowdown(of *tracker.Server) float64 {
+	var all []float64
+	for _, s := range g.view.Registry.All() {
+		if r := g.records[s.ID]; s.Service == of.Service && r != nil && s.Usable() {
+			all = append(all, max(r.slowdown, 1))
+		}
+	}
+	if len(all) == 0 {
+		return 1
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -111,6 +111,15 @@
 	return "unanswered"
 }
 
+// Reply is a backend server's reply to an order, or what became of the order without
+// one.
+type Reply struct {
+	Outcome Outcome
+	// Slowdown is how many times longer than declared the server's steps take, as the
+	// reply to a probe states. It is 0 if the reply does not state it.
+	Slowdown float64
+}
+
 // Suspicion is what the requests of the front processes show about a backend server
 // that may be dead or stalled.
 type Suspicion struct {
