replicator, driver, coordinator: hold early elections without a voter whose disk is lost

The process says in its hello under which id it runs, so the others know that the old id will never run again. The election still needs a majority of all voters, and a voter that is merely silent is waited for as before.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -105,6 +105,7 @@
 		c.markAllUnreported()
 	}
 	p.lastHelloAt, p.lastHello = now, h
+	c.driver.MarkReplaced(from, replicator.NodeID(h.GetVoterId()))
 	for _, k := range h.GetKnown() {
 		vm := identifier.VM(k)
 		if vm != c.self && c.peers[vm] == nil {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -141,6 +141,9 @@
 	done   chan result
 }
 
+// lostVoter is the id of a voter that will never run again.
+type lostVoter replicator.NodeID
+
 type pendingProposal struct {
 	term replicator.Term
 	done chan result
@@ -274,6 +277,8 @@
 		d.handleMessage(item)
 	case proposal:
 		d.handleProposal(item)
+	case lostVoter:
+		d.node.MarkLost(replicator.NodeID(item))
 	case serializedState:
 		if err := d.storeSnapshot(item); err != nil {
 			d.storageErr = err
@@ -435,11 +440,27 @@
 	return d.Journal.SaveSnapshot(s, d.node.EntriesAfter(s.Index))
 }
 
+// MarkReplaced records that the process on a VM runs under the given id, so that a
+// voter of that VM with another id, whose disk is gone, will never run again. It never
+// blocks.
+func (d *Driver) MarkReplaced(vm identifier.VM, id replicator.NodeID) {
+	if id == "" {
+		return
+	}
+	for _, v := range d.Status().Voters {
+		if VMOf(v) == vm && v != id {
+			d.enqueue(lostVoter(v))
+		}
+	}
+}
+
 // Deliver queues a message from another voter. It never blocks: a message that
 // does not fit into the inbox is dropped, which the protocol tolerates.
-func (d *Driver) Deliver(m replicator.Message) {
+func (d *Driver) Deliver(m replicator.Message) { d.enqueue(m) }
+
+func (d *Driver) enqueue(item any) {
 	select {
-	case d.inbox <- m:
+	case d.inbox <- item:
 	default:
 	}
 }
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -31,8 +31,8 @@
 	// EarlyElectionTicks is the number of ticks after Start in which an election
 	// may be held before the election timeout. During these ticks, until it hears
 	// from a leader, the Node requests pre-votes every few ticks. It holds an
-	// election if every voter grants its pre-vote, since then no voter knows a
-	// leader. 0 disables early elections.
+	// election if every voter that is not known to be lost grants its pre-vote, since
+	// then no voter knows a leader. 0 disables early elections.
 	EarlyElectionTicks int
 	// Rand draws election timeouts and the intervals between early pre-votes.
 	Rand *rand.Rand
@@ -63,7 +63,9 @@
 	earlyTicksLeft      int
 	ticksToEarlyPreVote int
 	earlyPreVote        bool
-	votes               map[NodeID]bool
+	// lost holds the voters that will never run again.
+	lost  map[NodeID]bool
+	votes map[NodeID]bool
 	progress            map[NodeID]*progress
 	noOpIndex           Index
 
@@ -139,6 +141,15 @@
 // drawEarlyPreVoteInterval draws the ticks until the next early pre-vote.
 func (n *Node) drawEarlyPreVoteInterval() int { return 1 + n.Rand.IntN(maxEarlyPreVoteInterval) }
 
+// MarkLost records that a voter will never run again, since its disk is gone. Early
+// elections do not wait for its pre-vote. They still need a majority of all voters.
+func (n *Node) MarkLost(id NodeID) {
+	if n.lost == nil {
+		n.lost = map[NodeID]bool{}
+	}
+	n.lost[id] = true
+}
+
 // Role returns the current role.
 func (n *Node) Role() Role { return n.role }
 
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -76,6 +76,10 @@
 			t.Fatal(err)
 		}
 		c.earlyElectionTicks = n
+	case "mark_lost":
+		for _, v := range c.voters {
+			v.node.MarkLost(ids[0])
+		}
 	case "join":
 		c.add(ids[0], nil)
 	case "remove":
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -130,16 +130,16 @@
 }
 
 func (n *Node) hasEnoughVotes() bool {
-	count := 0
+	count, lost := 0, 0
 	for _, id := range n.Voters() {
-		if n.votes[id] {
+		switch {
+		case n.votes[id]:
 			count++
+		case n.lost[id]:
+			lost++
 		}
 	}
-	if n.earlyPreVote {
-		return count == len(n.Voters())
-	}
-	return count >= majority(len(n.Voters()))
+	return count >= majority(len(n.Voters())) && (!n.earlyPreVote || count+lost == len(n.Voters()))
 }
 
 func (n *Node) advanceElection() {
