replicator: hold early elections by majority once a leader would have been heard

A live leader reconnects and sends a heartbeat within 6 ticks; after that the pre-votes of a majority show as much as those of all. An early election that does not decide within 3 ticks is repeated, since its votes were probably split. Two voters that restart beside a live leader still do not depose it.

--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -32,7 +32,8 @@
 	// may be held before the election timeout. During these ticks, until it hears
 	// from a leader, the Node requests pre-votes every few ticks. It holds an
 	// election if every voter that is not known to be lost grants its pre-vote, since
-	// then no voter knows a leader. 0 disables early elections.
+	// then no voter knows a leader. Once a heartbeat of a live leader would have
+	// arrived, a majority is enough. 0 disables early elections.
 	EarlyElectionTicks int
 	// Rand draws election timeouts and the intervals between early pre-votes.
 	Rand *rand.Rand
@@ -138,6 +139,16 @@
 // ticks. A tick is longer than a round trip, so replies arrive in between.
 const maxEarlyPreVoteInterval = 3
 
+// heartbeatSlackTicks is how much longer than a heartbeat interval it may take until a
+// voter that has just started hears from a live leader, which has to connect to it.
+const heartbeatSlackTicks = 2
+
+// wouldHaveHeardLeader reports whether a live leader's heartbeat would have arrived
+// since the start.
+func (n *Node) wouldHaveHeardLeader() bool {
+	return n.EarlyElectionTicks-n.earlyTicksLeft > n.HeartbeatTicks+heartbeatSlackTicks
+}
+
 // drawEarlyPreVoteInterval draws the ticks until the next early pre-vote.
 func (n *Node) drawEarlyPreVoteInterval() int { return 1 + n.Rand.IntN(maxEarlyPreVoteInterval) }
 
@@ -193,7 +204,9 @@
 // tickEarlyElection requests early pre-votes when they are due. The election
 // timeout keeps running meanwhile.
 func (n *Node) tickEarlyElection() {
-	if n.earlyTicksLeft == 0 || n.role == Candidate {
+	// An election that is not decided by now has probably split the votes.
+	electionPending := n.role == Candidate && n.elapsedTicks < maxEarlyPreVoteInterval
+	if n.earlyTicksLeft == 0 || electionPending {
 		return
 	}
 	n.earlyTicksLeft--
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -139,7 +139,8 @@
 			lost++
 		}
 	}
-	return count >= majority(len(n.Voters())) && (!n.earlyPreVote || count+lost == len(n.Voters()))
+	mayHold := !n.earlyPreVote || count+lost == len(n.Voters()) || n.wouldHaveHeardLeader()
+	return mayHold && count >= majority(len(n.Voters()))
 }
 
 func (n *Node) advanceElection() {
