replicator: repeat an early election that split the votes after a spread delay

The scripted test showed two voters in lockstep that split the votes three times in a row when both tried again after the same number of ticks. The next early pre-vote after an election now comes 3 to 8 ticks later. Measured in the script only: a leader after 14 ticks where there was none after 12.

--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -204,9 +204,7 @@
 // tickEarlyElection requests early pre-votes when they are due. The election
 // timeout keeps running meanwhile.
 func (n *Node) tickEarlyElection() {
-	// An election that is not decided by now has probably split the votes.
-	electionPending := n.role == Candidate && n.elapsedTicks < maxEarlyPreVoteInterval
-	if n.earlyTicksLeft == 0 || electionPending {
+	if n.earlyTicksLeft == 0 {
 		return
 	}
 	n.earlyTicksLeft--
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -65,6 +65,11 @@
 		n.requestPreVotes()
 		return
 	}
+	if n.earlyTicksLeft > 0 {
+		// An election that is not decided by then has probably split the votes. The
+		// spread keeps the next ones apart.
+		n.ticksToEarlyPreVote = maxEarlyPreVoteInterval + n.Rand.IntN(2*maxEarlyPreVoteInterval)
+	}
 	n.setHardState(n.hardState.Term+1, n.ID)
 	n.requestVotes(Candidate, Vote, n.hardState.Term)
 }
