coordinator, fronter: leave the state out of replies to fronts that look for a confirmed core process

A pull now states how old a state may be; a core process with another registry that is not confirmed within that time answers without its state, and the front goes on following the one that it knows. A front reports its load to that one only, so it is neither counted twice nor are its loads, and the demands of a failed pull are sent with the next.

--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -41,7 +41,10 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	c.mu.Lock()
-	c.fronts[from] = &front{lastPullAt: time.Now(), pullWait: wait, loads: p.GetLoads(), suspicions: p.GetDoubts()}
+	if p.GetRegistry() == c.registryID {
+		// A front that only asks whether this process is confirmed counts elsewhere.
+		c.fronts[from] = &front{lastPullAt: time.Now(), pullWait: wait, loads: p.GetLoads(), suspicions: p.GetDoubts()}
+	}
 	c.localDemand.add(p.GetDemands())
 	for {
 		behind := p.GetRegistry() != c.registryID || p.GetRevision() != c.registry.Revision()
@@ -82,14 +85,20 @@
 		Registry: c.registryID, CatalogVersion: uint64(state.Version), Changes: state.ChangeCount,
 		ConfirmedAgoMs: uint64(ago.Milliseconds()) + 1, Unconfirmed: !confirmed,
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u.Cores = c.coreInfos(now)
+	u.Fronts = uint32(c.countAllFronts(now))
+	if omitsState(p, u) {
+		u.StateOmitted = true
+		return &peerv1.Envelope{FrontUpdate: u}
+	}
 	if u.CatalogVersion > p.GetCatalogVersion() {
 		u.Catalog = state.Data
 	}
 	for _, d := range state.Evacuated {
 		u.Evacuated = append(u.Evacuated, string(d))
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	u.Revision = c.registry.Revision()
 	servers := c.registry.ChangedSince(p.GetRevision())
 	if p.GetRegistry() != c.registryID {
@@ -99,19 +108,29 @@
 	for _, s := range servers {
 		u.Servers = append(u.Servers, encoder.EncodeServer(now, s))
 	}
-	u.Cores = append(u.Cores, &peerv1.CoreInfo{
-		Address: string(c.self), FailureDomain: string(c.Settings.FailureDomain),
-	})
-	for _, vm := range c.livePeers(now) {
-		u.Cores = append(u.Cores, &peerv1.CoreInfo{
-			Address: string(vm), FailureDomain: c.peers[vm].lastHello.GetFailureDomain(),
-		})
-	}
-	u.Fronts = uint32(c.countAllFronts(now))
 	u.Loads = c.allLoads(now)
 	return &peerv1.Envelope{FrontUpdate: u}
 }
 
+// omitsState reports whether the state is left out of an update. While no quorum is
+// reachable, fronts ask one core process after the other until one is confirmed. The
+// whole registry in each of these replies would fill the links between failure domains.
+func omitsState(p *peerv1.FrontPull, u *peerv1.FrontUpdate) bool {
+	if p.GetMaxStateAgeMs() == 0 || p.GetRegistry() == u.GetRegistry() {
+		return false
+	}
+	return u.GetUnconfirmed() || u.GetConfirmedAgoMs() > uint64(p.GetMaxStateAgeMs())
+}
+
+// coreInfos lists this process and its live peers. The caller must hold mu.
+func (c *Coordinator) coreInfos(now time.Time) []*peerv1.CoreInfo {
+	infos := []*peerv1.CoreInfo{{Address: string(c.self), FailureDomain: string(c.Settings.FailureDomain)}}
+	for _, vm := range c.livePeers(now) {
+		infos = append(infos, &peerv1.CoreInfo{Address: string(vm), FailureDomain: c.peers[vm].lastHello.GetFailureDomain()})
+	}
+	return infos
+}
+
 // countLocalFronts counts the fronts that pull from this process, and removes
 // those whose last pull is older than frontCountTTL. The caller must hold mu.
 func (c *Coordinator) countLocalFronts(now time.Time) int {
--- a/internal/coordinator/fronts_test.go
+++ b/internal/coordinator/fronts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -182,3 +183,71 @@
 		}
 	})
 }
+
+// TestFrontKeepsCoreWithoutQuorum replays a time in which the core processes are
+// partitioned from each other, but not from the fronts, so that none has a quorum. A
+// front that went from one to the next got the whole registry each time, hundreds of
+// megabytes in all on a large system. It must go on following the one that it knows,
+// with all its servers, and be counted once.
+func TestFrontKeepsCoreWithoutQuorum(t *testing.T) {
+	runInSystem(t, func(s *system) {
+		s.mustPublish(1, "a")
+		f := s.startFront()
+		for i := range 50 {
+			id := identifier.Server(fmt.Sprintf("i-%d", i))
+			s.cores["c"].core.HandleAnnouncement(tracker.Server{
+				ID: id, Service: "llm", Address: string(id) + ":1", Domain: "zc", Incarnation: 5, Sequence: 1, LastHeartbeatAt: time.Now(),
+			})
+		}
+		time.Sleep(2 * time.Second)
+		followed := f.Snapshot().Core
+		s.partitionCores(true)
+		for range 25 {
+			time.Sleep(100 * time.Millisecond)
+			if got := f.Snapshot(); got.Core != followed || len(got.Servers) != 50 {
+				t.Fatalf("the front follows %s with %d servers, before %s with 50", got.Core, len(got.Servers), followed)
+			}
+		}
+		s.partitionCores(false)
+		time.Sleep(3 * time.Second)
+		if got := f.Snapshot(); !f.Ready() || got.Fronts != 1 {
+			t.Errorf("after the partition: ready %v, %d fronts", f.Ready(), got.Fronts)
+		}
+	})
+}
+
+// TestFrontFollowsUnconfirmedCoreAfterLoss checks that a front whose core process is
+// down follows another one, even if that one has no quorum.
+func TestFrontFollowsUnconfirmedCoreAfterLoss(t *testing.T) {
+	runInSystem(t, func(s *system) {
+		s.mustPublish(1, "a")
+		f := s.startFront()
+		time.Sleep(2 * time.Second)
+		remaining := slices.DeleteFunc(slices.Clone(initialCores), func(n string) bool { return identifier.VM(n+":7") == f.Snapshot().Core })
+		if len(remaining) != 2 {
+			t.Fatalf("the front follows %s", f.Snapshot().Core)
+		}
+		for _, c := range initialCores {
+			if c != remaining[0] {
+				s.killCores(c)
+			}
+		}
+		s.cores[remaining[0]].core.HandleAnnouncement(tracker.Server{
+			ID: "i-1", Service: "llm", Address: "i-1:1", Domain: "zc", Incarnation: 5, Sequence: 1, LastHeartbeatAt: time.Now(),
+		})
+		time.Sleep(4 * time.Second)
+		if got := f.Snapshot(); got.Core != identifier.VM(remaining[0]+":7") || len(got.Servers) != 1 {
+			t.Errorf("the front follows %s with %d servers", got.Core, len(got.Servers))
+		}
+	})
+}
+
+// partitionCores disconnects all core processes from each other, or connects them
+// again.
+func (s *system) partitionCores(partitioned bool) {
+	for i, one := range initialCores {
+		for _, other := range initialCores[i+1:] {
+			s.net.SetPartitioned(one, other, partitioned)
+		}
+	}
+}
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -117,6 +117,10 @@
 	// failedPulls counts the failed pulls, up to maxFirstPullDoublings. It is used only
 	// before the first successful one.
 	failedPulls int
+	// coreLost is set while core does not respond.
+	coreLost bool
+	// unsentDemands are the demands of a failed pull.
+	unsentDemands []*peerv1.ModelDemand
 }
 
 // Init prepares the front. It must be called before Run.
--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -50,10 +51,18 @@
 			sleepContext(ctx, pullRetryDelay)
 			continue
 		}
-		if !f.pull(ctx, core) {
-			f.state.avoidUntil[core] = time.Now().Add(coreAvoidance)
-			sleepContext(ctx, pullRetryDelay)
+		if f.pull(ctx, core) {
+			continue
+		}
+		st := &f.state
+		st.avoidUntil[core] = time.Now().Add(coreAvoidance)
+		if core != st.core && st.core != "" && !st.coreLost {
+			// None is confirmed so far. The one that this front follows still knows more
+			// than it does.
+			f.pull(ctx, st.core)
+			continue
 		}
+		sleepContext(ctx, pullRetryDelay)
 	}
 }
 
@@ -118,25 +127,13 @@
 	}
 	p := &peerv1.FrontPull{
 		FailureDomain: string(f.Settings.FailureDomain), Registry: st.registryID, Revision: st.revision,
-		CatalogVersion: uint64(st.catalogVersion), WaitMs: uint32(wait.Milliseconds()),
+		CatalogVersion: uint64(st.catalogVersion), WaitMs: uint32(wait.Milliseconds()), MaxStateAgeMs: f.maxStateAge(),
 	}
 	own := f.forwarder.OwnLoads()
-	for id, l := range own {
-		p.Loads = append(p.Loads, &peerv1.ServerLoad{
-			Id: string(id), Running: uint32(max(l.Running, 0)), UnreadTokens: uint64(max(l.PendingPromptTokens, 0)),
-		})
-	}
-	for _, s := range f.forwarder.Suspicions(now) {
-		p.Doubts = append(p.Doubts, &peerv1.ServerDoubt{
-			Id: string(s.Server), AnsweredAgoMs: uint64(s.SinceLastResponse.Milliseconds()),
-			Unreachable: uint32(s.ConnectFailures), Stalled: uint32(s.StalledRequests),
-		})
-	}
-	for _, d := range f.forwarder.TakeDemands() {
-		p.Demands = append(p.Demands, &peerv1.ModelDemand{
-			Service: string(d.Service), Model: d.Model, Requests: uint32(d.Requests), Refused: uint32(d.Refused),
-			EngineMs: uint64(d.EngineTime.Milliseconds()),
-		})
+	if core == st.core {
+		// The loads of a front that reported to several core processes would be counted
+		// several times.
+		f.addReport(now, own, p)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
@@ -147,8 +144,15 @@
 			_ = level.Info(f.Logger).Log("msg", "pull from core process failed; trying the other core processes first", "core", core, "err", err)
 		}
 		st.failedPulls = min(st.failedPulls+1, maxFirstPullDoublings)
+		st.unsentDemands = p.GetDemands()
+		st.coreLost = st.coreLost || core == st.core
 		return false
 	}
+	if u.GetStateOmitted() {
+		st.cores = u.GetCores()
+		return false
+	}
+	st.coreLost = false
 	if st.core != core {
 		_ = level.Info(f.Logger).Log("msg", "pulling from core process", "core", core, "was", st.core,
 			"catalog", u.GetCatalogVersion(), "confirmed_ago_ms", u.GetConfirmedAgoMs())
@@ -158,17 +162,49 @@
 	return !u.GetUnconfirmed() && time.Duration(u.GetConfirmedAgoMs())*time.Millisecond < maxCoreStateAge
 }
 
+// addReport adds this front's loads, suspicions and demands to a pull.
+func (f *Front) addReport(now time.Time, own map[identifier.Server]chooser.Load, p *peerv1.FrontPull) {
+	for id, l := range own {
+		p.Loads = append(p.Loads, &peerv1.ServerLoad{
+			Id: string(id), Running: uint32(max(l.Running, 0)), UnreadTokens: uint64(max(l.PendingPromptTokens, 0)),
+		})
+	}
+	for _, s := range f.forwarder.Suspicions(now) {
+		p.Doubts = append(p.Doubts, &peerv1.ServerDoubt{
+			Id: string(s.Server), AnsweredAgoMs: uint64(s.SinceLastResponse.Milliseconds()),
+			Unreachable: uint32(s.ConnectFailures), Stalled: uint32(s.StalledRequests),
+		})
+	}
+	// The core process adds up demands, so those of a failed pull can go separately.
+	p.Demands, f.state.unsentDemands = f.state.unsentDemands, nil
+	for _, d := range f.forwarder.TakeDemands() {
+		p.Demands = append(p.Demands, &peerv1.ModelDemand{
+			Service: string(d.Service), Model: d.Model, Requests: uint32(d.Requests), Refused: uint32(d.Refused),
+			EngineMs: uint64(d.EngineTime.Milliseconds()),
+		})
+	}
+}
+
+// maxStateAge returns FrontPull.max_state_age_ms. A front that has a state takes an old
+// one from another core process only after it has lost the one that it follows, and a
+// front that has none never takes one that was not confirmed.
+func (f *Front) maxStateAge() uint32 {
+	_, ever := f.forwarder.SinceConfirmed()
+	switch {
+	case !ever:
+		return math.MaxUint32
+	case f.state.coreLost:
+		return 0
+	}
+	return uint32(maxCoreStateAge.Milliseconds())
+}
+
 // applyUpdate applies a core process's update. calledAt is the Elapsed time of the call
 // that returned it, and own is the load that this front reported in the call.
 func (f *Front) applyUpdate(calledAt time.Duration, own map[identifier.Server]chooser.Load, u *peerv1.FrontUpdate) {
 	st := &f.state
 	now := time.Now()
 	st.cores, st.frontCount = u.GetCores(), int(u.GetFronts())
-	if _, ever := f.forwarder.SinceConfirmed(); u.GetUnconfirmed() && !ever {
-		// This front has no confirmed state yet, and an unconfirmed core process may be
-		// behind the others.
-		return
-	}
 	if len(u.GetCatalog()) > 0 && u.GetCatalogVersion() > uint64(st.catalogVersion) {
 		cat, err := f.DecodeCatalog(u.GetCatalog())
 		if err != nil {
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -65,10 +65,10 @@
 	ticksToEarlyPreVote int
 	earlyPreVote        bool
 	// lost holds the voters that will never run again.
-	lost  map[NodeID]bool
-	votes map[NodeID]bool
-	progress            map[NodeID]*progress
-	noOpIndex           Index
+	lost      map[NodeID]bool
+	votes     map[NodeID]bool
+	progress  map[NodeID]*progress
+	noOpIndex Index
 
 	output           Output
 	hardStateChanged bool
