grouper: let spares that are left over load the weights of a model in more demand

Where what is left of other models, but for one spare, completes a group of a model with 1.5 times the demand per group, it now loads those weights.

--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -187,6 +187,7 @@
 			g.warmSpares(f)
 		}
 		g.stageSpares(fs)
+		g.convertSpares(fs)
 	}
 	g.forgetEndedGroups()
 	orders, decisions := g.orders, g.decisions
