chooser, forwarder: let callers refused in an outage come back after 1 to 2 s, spread

No caller that waits 0.5 s meets its objective, so an early return gains nothing. Now no_catalog, keys_not_confirmed, no_server and rejected ask for a return after 1 to 2 s at random.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -36,11 +36,13 @@
 	// before jitter.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// minOutageRetryAfter and maxOutageRetryAfter bound the retry delay of a request that
+	// is refused during an outage.
+	minOutageRetryAfter = time.Second
+	maxOutageRetryAfter = 2 * time.Second
 	// coldEndTolerance is how far apart two announced ends of the same cold start
 	// may be. A larger difference means a new cold start.
 	coldEndTolerance = time.Second
-	// noServerRetryAfter is the retry delay when no server serves the model.
-	noServerRetryAfter = 500 * time.Millisecond
 )
 
 // Request describes a request that needs a server.
@@ -68,7 +70,8 @@
 	// PredictedDelay is the predicted time to the first event.
 	PredictedDelay time.Duration
 	// Reason and RetryAfter are set when there is no server: the reason for the
-	// refusal, and the delay after which the caller may retry.
+	// refusal, and the delay after which the caller may retry. RetryAfter is 0 if no
+	// time is predicted.
 	Reason     string
 	RetryAfter time.Duration
 }
@@ -222,14 +225,14 @@
 func (c *Chooser) Choose(now time.Time, r Request) Choice {
 	svc := c.catalog.Service(r.Service)
 	if svc == nil {
-		return Choice{Reason: NoServer, RetryAfter: noServerRetryAfter}
+		return Choice{Reason: NoServer}
 	}
 	cold := c.collectCandidates(now, svc, &r)
 	if len(c.sameDomain)+len(c.otherDomains) == 0 {
 		if cold {
 			return Choice{Reason: ColdServer, RetryAfter: minRetryAfter}
 		}
-		return Choice{Reason: NoServer, RetryAfter: noServerRetryAfter}
+		return Choice{Reason: NoServer}
 	}
 	best := c.earliest(svc, &r, c.sampleTwo())
 	if r.AllowLate || best.PredictedDelay <= r.LatencyBudget {
@@ -399,6 +402,15 @@
 	return base + time.Duration(c.Rand.Int64N(int64(base)))
 }
 
+// OutageRetryAfter returns the retry delay of a request that is refused during an
+// outage: while this front may not serve, no server serves the model, or none can be
+// reached. Most outages take longer than any latency objective, so callers gain nothing
+// by an early return, and are refused again. They return spread over time, because all
+// of them together would overload the servers after the outage.
+func (c *Chooser) OutageRetryAfter() time.Duration {
+	return minOutageRetryAfter + time.Duration(c.Rand.Int64N(int64(maxOutageRetryAfter-minOutageRetryAfter)))
+}
+
 // RecordSent records that a request with promptTokens prompt tokens is sent to a
 // server.
 func (c *Chooser) RecordSent(now time.Time, id identifier.Server, promptTokens int) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -102,9 +102,6 @@
 	// retryBudgetShare is the fraction of the configured retry budgets that is used.
 	// The rest is a reserve, because counts such as the number of fronts lag behind.
 	retryBudgetShare = 0.8
-	// notReadyRetryAfter is the Retry-After of a front that has no catalog, or no
-	// recent confirmation that keys are still valid.
-	notReadyRetryAfter = 500 * time.Millisecond
 	// defaultTimeout applies when neither the route nor the caller states a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -262,7 +259,7 @@
 	f := q.f
 	c := f.catalog.Load()
 	if c == nil {
-		q.respondError(http.StatusServiceUnavailable, "no_catalog", notReadyRetryAfter)
+		q.respondError(http.StatusServiceUnavailable, "no_catalog", f.outageRetryAfter())
 		return false
 	}
 	q.catalog = c
@@ -282,12 +279,20 @@
 	return q.readBody()
 }
 
+// outageRetryAfter returns the Retry-After of a request that is refused during an
+// outage.
+func (f *Forwarder) outageRetryAfter() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooser.OutageRetryAfter()
+}
+
 // authenticate finds the team of the request's key. If it returns false, it has
 // already written an error response.
 func (q *request) authenticate() bool {
 	if !q.f.keysConfirmed() {
 		// The key may have been revoked since the last confirmation.
-		q.respondError(http.StatusServiceUnavailable, "keys_not_confirmed", notReadyRetryAfter)
+		q.respondError(http.StatusServiceUnavailable, "keys_not_confirmed", q.f.outageRetryAfter())
 		return false
 	}
 	team := q.catalog.TeamByKey(q.info.Key)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -261,6 +261,9 @@
 	outcomeCallerLeft = "caller_left"
 	outcomeTimeout    = "timeout"
 	outcomeFailed     = "failed"
+	// outcomeRejected means that every server that was tried rejected the request or
+	// could not be reached.
+	outcomeRejected = "rejected"
 )
 
 func joinServerIDs(ids []identifier.Server) string {
@@ -286,7 +289,10 @@
 	case q.possibleRuns == 0 && q.ctx.Err() == nil:
 		reason, retryAfter := c.Reason, c.RetryAfter
 		if reason == "" {
-			reason, retryAfter = "rejected", allRejectedRetryAfter
+			reason = outcomeRejected
+		}
+		if retryAfter == 0 {
+			retryAfter = q.f.outageRetryAfter()
 		}
 		q.f.recordRefusal(q)
 		q.respondError(http.StatusServiceUnavailable, reason, retryAfter)
@@ -297,10 +303,6 @@
 	}
 }
 
-// allRejectedRetryAfter is the Retry-After when every server that was tried rejected
-// the request or could not be reached, and no further one is tried.
-const allRejectedRetryAfter = 300 * time.Millisecond
-
 func (f *Forwarder) recordRefusal(q *request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
