--- a/internal/forwarder/outage_test.go
+++ b/internal/forwarder/outage_test.go
@@ -17,7 +17,7 @@
 		tb.SetServers(nil, nil)
 		perQuarter := map[int]int{}
 		for range callers {
-			res := tb.call(context.Background(), "GET", "/read/a", "")
+			res := tb.call(context.Background(), "GET", "/any/a", "")
 			seconds, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
 			wait := time.Duration(seconds * float64(time.Second))
 			if res.status != 503 || err != nil || wait < time.Second || wait > 2*time.Second {
