explainer, cmd: add up from logs what became of requests, with trefoilhead explain

The request line now also states the objectives and the longest gap between events, the survey line the size of a group. Policy is unchanged.

--- a/cmd/trefoilhead/main.go
+++ b/cmd/trefoilhead/main.go
@@ -45,6 +45,7 @@
 		Subcommands: []*ffcli.Command{
 			newServeCommand(), newFrontCommand(), newCoreCommand(), newApplyCommand(), newGetCommand(), newDrainCommand("drain", true), newDrainCommand("undrain", false),
 			newDumpCommand(), newBackupCommand(), newRestoreCommand(), newVoterCommand(), newValidateCommand(), newDemoCommand(), newLoadCommand(),
+			newExplainCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -96,7 +96,7 @@
 func (c *Coordinator) logSurvey() {
 	models, blank, unusable := c.placement.grouper.Survey()
 	for _, m := range models {
-		_ = level.Info(c.Logger).Log("msg", "survey", "model", m.Model, "serving", m.Serving, "forming", m.Forming,
+		_ = level.Info(c.Logger).Log("msg", "survey", "model", m.Model, "size", m.GroupSize, "serving", m.Serving, "forming", m.Forming,
 			"ending", m.Ending, "spare", m.Spare, "loading", m.Loading, "blank", blank, "unusable", unusable,
 			"demand_ms", int(1000*c.placement.lastDemand[m.Model]))
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -48,6 +48,10 @@
 	connectFailures  int
 	lastError        string
 	timeToFirstEvent time.Duration
+	// lastForwardedAt is when the last event of a stream was forwarded to the caller, and
+	// longestGap the longest time between two of them.
+	lastForwardedAt time.Time
+	longestGap      time.Duration
 	// predictedDelay is the predicted time to the first event at the server that
 	// was tried last.
 	predictedDelay time.Duration
@@ -209,6 +213,14 @@
 	return q.retryReserved
 }
 
+// recordForwarded records that events of a stream were forwarded to the caller.
+func (q *request) recordForwarded(now time.Time) {
+	if !q.lastForwardedAt.IsZero() {
+		q.longestGap = max(q.longestGap, now.Sub(q.lastForwardedAt))
+	}
+	q.lastForwardedAt = now
+}
+
 // priority returns the team's priority, or the route's if the request has no team.
 func (q *request) priority() int {
 	if q.team != nil {
@@ -241,8 +253,9 @@
 		c.refused.Inc(1)
 	}
 	route, version := "", cataloger.Version(0)
+	var objective, gapObjective time.Duration
 	if q.route != nil {
-		route = q.route.Name
+		route, objective, gapObjective = q.route.Name, q.route.LatencyObjective, q.route.GapObjective
 	}
 	if q.catalog != nil {
 		version = q.catalog.Version
@@ -251,6 +264,7 @@
 	_ = level.Info(q.f.Logger).Log("msg", "request", "id", q.info.ID, "status", status, "outcome", outcome, "route", route,
 		"team", q.teamName(), "model", q.info.Model, "servers", joinServerIDs(q.tried), "runs", q.possibleRuns,
 		"rejections", q.rejections, "unreached", q.connectFailures, "fault", q.lastError, "expected_ms", q.predictedDelay.Milliseconds(), "first_ms", q.timeToFirstEvent.Milliseconds(),
+		"objective_ms", objective.Milliseconds(), "gap_ms", q.longestGap.Milliseconds(), "gap_objective_ms", gapObjective.Milliseconds(),
 		"total_ms", time.Since(q.receivedAt).Milliseconds(), "catalog", version, "fresh_ago_ms", sinceConfirmed.Milliseconds())
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -150,6 +150,7 @@
 		return nil
 	}
 	x.recordEvents()
+	s.q.recordForwarded(time.Now())
 	if err := s.flusher.Flush(); err != nil {
 		return &callerWriteError{err}
 	}
--- a/internal/grouper/survey.go
+++ b/internal/grouper/survey.go
@@ -7,10 +7,12 @@
 
 // ModelCounts holds the numbers of groups and spare servers of one model.
 type ModelCounts struct {
-	Model   string
-	Serving int
-	Forming int
-	Ending  int
+	Model string
+	// GroupSize is the number of servers of a group.
+	GroupSize int
+	Serving   int
+	Forming   int
+	Ending    int
 	// Spare counts the free servers that have the weights, Loading those that load
 	// them.
 	Spare   int
@@ -57,12 +59,30 @@
 		}
 	}
 	for _, c := range counts {
+		c.GroupSize = g.groupSize(c.Model)
 		models = append(models, *c)
 	}
 	slices.SortFunc(models, func(a, b ModelCounts) int { return cmp.Compare(a.Model, b.Model) })
 	return models, blank, unusable
 }
 
+// groupSize returns the number of servers of a group of a model, or 0 if no service has
+// that model.
+func (g *Grouper) groupSize(model string) int {
+	if g.view.Catalog == nil {
+		return 0
+	}
+	for _, s := range g.view.Catalog.Services {
+		if s.Engine == nil {
+			continue
+		}
+		if m, ok := s.Engine.Model(model); ok {
+			return m.GroupSize
+		}
+	}
+	return 0
+}
+
 // countLiveMembers counts the live members of a group that have not left it.
 func (gr *group) countLiveMembers(f *fabricPool) int {
 	n := 0
