--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -29,6 +29,10 @@
 // means that no core process led in between.
 const maxSurveyGap = 3 * time.Second
 
+// minSurveyGap is shorter than the time between two surveys, and longer than that
+// between the lines of one.
+const minSurveyGap = 500 * time.Millisecond
+
 // Cause says what became of a request and why.
 type Cause string
 
@@ -197,31 +201,34 @@
 		e.lastSurveyAt = map[string]time.Time{}
 		e.report.ServerSeconds = map[string]map[ServerState]float64{}
 	}
-	model := fields["model"]
-	since := at.Sub(e.lastSurveyAt[model])
-	e.lastSurveyAt[model] = at
-	if since <= 0 || since > maxSurveyGap {
-		return
+	// Every model's line repeats the counts of servers without a model.
+	if since := e.sinceSurvey(at, ""); since > minSurveyGap {
+		e.addServerSeconds("", StateBlank, number(fields, "blank"), since)
+		e.addServerSeconds("", StateUnusable, number(fields, "unusable"), since)
 	}
-	size := number(fields, "size")
+	model, size := fields["model"], number(fields, "size")
+	since := e.sinceSurvey(at, model)
 	for state, servers := range map[ServerState]int{
 		StateServing: number(fields, "serving") * size, StateForming: number(fields, "forming") * size,
 		StateEnding: number(fields, "ending") * size, StateSpare: number(fields, "spare"), StateLoading: number(fields, "loading"),
 	} {
 		e.addServerSeconds(model, state, servers, since)
 	}
-	// Every model's line repeats the counts of servers without a model.
-	if since = at.Sub(e.lastSurveyAt[""]); since > maxSurveyGap || since > time.Second/2 {
-		e.lastSurveyAt[""] = at
-		if since <= maxSurveyGap {
-			e.addServerSeconds("", StateBlank, number(fields, "blank"), since)
-			e.addServerSeconds("", StateUnusable, number(fields, "unusable"), since)
-		}
+}
+
+// sinceSurvey returns the time since the last survey line of a model, or 0 if there was
+// none for long.
+func (e *Explainer) sinceSurvey(at time.Time, model string) time.Duration {
+	since := at.Sub(e.lastSurveyAt[model])
+	e.lastSurveyAt[model] = at
+	if since <= 0 || since > maxSurveyGap {
+		return 0
 	}
+	return since
 }
 
 func (e *Explainer) addServerSeconds(model string, state ServerState, servers int, d time.Duration) {
-	if servers == 0 {
+	if servers == 0 || d == 0 {
 		return
 	}
 	byState := e.report.ServerSeconds[model]
