router, locator: ask a failure domain that has not said that it serves before a request is refused

Likely cause of TestFailureDomainTakenOut (1 of 360 runs): when its own failure domain is taken out, an entry that has no digest yet of the others, or one from before their groups formed, refused with no_capacity. It now asks such a domain as a last resort, through a configured entry if it has no digest at all. Domains with a stale digest, which are probably cut off, stay left out, as the test demands.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -27,6 +27,9 @@
 	// MaxDigestAge is the age above which a digest counts as stale, so that no requests
 	// are sent to its failure domain.
 	MaxDigestAge time.Duration
+	// Peers lists the configured entry VMs of each failure domain. They stand in for
+	// those that a digest lists until one has arrived.
+	Peers map[identifier.FailureDomain][]identifier.VM
 
 	mu          sync.RWMutex
 	view        *peerv1.PlacementView
@@ -267,6 +270,11 @@
 	for id, d := range l.digests {
 		all = append(all, remoteDomainLoad(id, d.msg, s, now.Sub(d.receivedAt) > l.MaxDigestAge, l.isDomainEvacuatedLocked(id)))
 	}
+	for id := range l.Peers {
+		if _, known := l.digests[id]; !known && id != l.Domain {
+			all = append(all, router.DomainLoad{Domain: id, Evacuated: l.isDomainEvacuatedLocked(id)})
+		}
+	}
 	slices.SortFunc(all, func(a, b router.DomainLoad) int {
 		if a.Domain < b.Domain {
 			return -1
@@ -292,7 +300,11 @@
 	defer l.mu.RUnlock()
 	list := l.view.GetEntries()
 	if d != l.Domain {
-		list = l.digests[d].msg.GetEntries()
+		digest, known := l.digests[d]
+		if !known {
+			return slices.Clone(l.Peers[d])
+		}
+		list = digest.msg.GetEntries()
 	}
 	var vms []identifier.VM
 	for _, e := range list {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -188,9 +188,11 @@
 
 // PickDomain returns the failure domain for a request: the local one while its
 // utilization is below maxLocalUtilization, and otherwise the one with the most free
-// capacity, or the local one if it has as much. Failure domains that serve no group,
-// are evacuated, have a stale digest or are in exclude are skipped. The second result
-// is false when none is left.
+// capacity, or the local one if it has as much. Failure domains that are evacuated, have
+// a stale digest or are in exclude are skipped. Another one that serves no group by its
+// digest, or has sent none yet, is picked only if none is left: it may have formed
+// groups since, and is asked before a request is refused. The second result is false
+// when there is none either.
 func PickDomain(local identifier.FailureDomain, domains []DomainLoad, exclude map[identifier.FailureDomain]bool) (identifier.FailureDomain, bool) {
 	var best *DomainLoad
 	for i := range domains {
@@ -205,10 +207,15 @@
 			best = d
 		}
 	}
-	if best == nil {
-		return "", false
+	if best != nil {
+		return best.Domain, true
 	}
-	return best.Domain, true
+	for _, d := range domains {
+		if d.Domain != local && !d.Evacuated && !d.Stale && !exclude[d.Domain] {
+			return d.Domain, true
+		}
+	}
+	return "", false
 }
 
 func (d DomainLoad) utilization() float64 { return float64(d.Running) / float64(max(d.Limit, 1)) }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -74,6 +74,8 @@
 		{"local is evacuated", []DomainLoad{evacuated, load("b", 2, 40, 32)}, "b", true},
 		{"local does not serve", []DomainLoad{load("a", 0, 0, 0), load("b", 1, 0, 32)}, "b", true},
 		{"remote is stale", []DomainLoad{load("a", 2, 32, 32), stale}, "a", true},
+		{"remote is not known to serve", []DomainLoad{evacuated, load("b", 0, 0, 0)}, "b", true},
+		{"remote does not serve, local does", []DomainLoad{load("a", 2, 40, 32), load("b", 0, 0, 0)}, "a", true},
 		{"none can be used", []DomainLoad{evacuated, stale}, "", false},
 	}
 	for _, c := range cases {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -131,8 +131,10 @@
 		return err
 	}
 	addresses := map[identifier.VM]string{}
+	peers := map[identifier.FailureDomain][]identifier.VM{}
 	for _, p := range cfg.Peers {
 		addresses[p.VM] = p.Address
+		peers[p.FailureDomain] = append(peers[p.FailureDomain], p.VM)
 	}
 	if s.Network == nil {
 		s.Network = tcpNetwork{newDialer(cfg.Timing.SilenceTimeout)}
@@ -144,7 +146,7 @@
 		PingInterval: cfg.Timing.HeartbeatInterval, SilenceTimeout: cfg.Timing.SilenceTimeout,
 	}
 	s.locator = &locator.Locator{
-		VM: cfg.VM, Domain: cfg.FailureDomain,
+		VM: cfg.VM, Domain: cfg.FailureDomain, Peers: peers,
 		ExclusiveOwnershipTimeout: cfg.Timing.SilenceTimeout - cfg.Timing.HeartbeatInterval/2, MaxDigestAge: digestHeartbeats*cfg.Timing.HeartbeatInterval + 2*cfg.Timing.SilenceTimeout,
 	}
 	s.registrar = &registrar.Registrar{SilenceTimeout: cfg.Timing.SilenceTimeout}
