--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -32,17 +32,6 @@
 	// plainServiceTime is the expected processing time of a request at a plain
 	// service, which declares no engine timings.
 	plainServiceTime = 60 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the retry delay of a refused request
-	// before jitter.
-	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
-	// minOutageRetryAfter and maxOutageRetryAfter bound the retry delay of a request that
-	// is refused during an outage.
-	minOutageRetryAfter = time.Second
-	maxOutageRetryAfter = 2 * time.Second
-	// coldEndTolerance is how far apart two announced ends of the same cold start
-	// may be. A larger difference means a new cold start.
-	coldEndTolerance = time.Second
 )
 
 // Request describes a request that needs a server.
@@ -341,36 +330,6 @@
 	return !s.Silent || c.stateOf(s.ID).connectFailures == 0
 }
 
-// coldRateAllows reports whether this front's share of a cold server's request
-// rate allows one more request now. It is always true for a warm server.
-func (c *Chooser) coldRateAllows(now time.Time, s *tracker.Server, svc *cataloger.Service) bool {
-	if svc.ColdRequestsPerSecond <= 0 || !s.IsCold(now) {
-		return true
-	}
-	st := c.stateOf(s.ID)
-	if s.ColdUntil.Sub(st.coldUntil) > coldEndTolerance {
-		// All fronts learn of the cold start at the same time. A random phase
-		// spreads their first requests.
-		phase := time.Duration(c.Rand.Int64N(int64(c.coldSendInterval(svc))))
-		st.nextColdSendAt = now.Add(phase)
-	}
-	st.coldUntil = s.ColdUntil
-	return !now.Before(st.nextColdSendAt)
-}
-
-// coldSendInterval returns the time between two requests of this front to a cold
-// server.
-func (c *Chooser) coldSendInterval(svc *cataloger.Service) time.Duration {
-	maxRate := svc.ColdRequestsPerSecond*max(c.ColdOvershoot, 1) + c.ColdSlack
-	// The fronts' phases are random, so at a mean rate of m some seconds get up to
-	// m plus deviations times the square root of m. The rate is set so that this
-	// sum equals maxRate.
-	const deviations = 3
-	sqrtRate := (math.Sqrt(deviations*deviations+4*maxRate) - deviations) / 2
-	rate := sqrtRate * sqrtRate / float64(max(c.FrontCount, 1))
-	return time.Duration(float64(time.Second) / rate)
-}
-
 // predictDelay returns the predicted time to the first event of a request at a
 // server.
 func (c *Chooser) predictDelay(s *tracker.Server, svc *cataloger.Service, r *Request) time.Duration {
@@ -394,23 +353,6 @@
 	return queueing + prefill + pass + pass/2
 }
 
-// jitteredRetryAfter returns a retry delay with random jitter, so that refused
-// callers do not all retry at the same time. The argument excess is the time by
-// which the prediction exceeds the latency budget.
-func (c *Chooser) jitteredRetryAfter(excess time.Duration) time.Duration {
-	base := min(max(excess, minRetryAfter), maxRetryAfter)
-	return base + time.Duration(c.Rand.Int64N(int64(base)))
-}
-
-// OutageRetryAfter returns the retry delay of a request that is refused during an
-// outage: while this front may not serve, no server serves the model, or none can be
-// reached. Most outages take longer than any latency objective, so callers gain nothing
-// by an early return, and are refused again. They return spread over time, because all
-// of them together would overload the servers after the outage.
-func (c *Chooser) OutageRetryAfter() time.Duration {
-	return minOutageRetryAfter + time.Duration(c.Rand.Int64N(int64(maxOutageRetryAfter-minOutageRetryAfter)))
-}
-
 // RecordSent records that a request with promptTokens prompt tokens is sent to a
 // server.
 func (c *Chooser) RecordSent(now time.Time, id identifier.Server, promptTokens int) {
