grouper: compute the typical slowdown once a step

It was computed for each slow server of each fabric domain, which grows with the square of the servers while many are slow. Read, not measured; decisions are the same.

--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -41,6 +41,8 @@
 	orphans map[identifier.Group]time.Time
 	records map[identifier.Server]*serverRecord
 	loads   loadLimiter
+	// typicalSlowdowns holds the results of typicalSlowdown in this step.
+	typicalSlowdowns map[identifier.Service]float64
 
 	view      View
 	now       time.Time
@@ -166,6 +168,7 @@
 // orders to send now, and the decisions for the log.
 func (g *Grouper) Step(now time.Time, v View) ([]Order, []Decision) {
 	g.now, g.view = now, v
+	g.typicalSlowdowns = map[identifier.Service]float64{}
 	if len(v.Demand) > 0 {
 		g.firstStart = false
 	}
--- a/internal/grouper/slow.go
+++ b/internal/grouper/slow.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
@@ -79,21 +80,26 @@
 // service.
 func (g *Grouper) isSlow(s *tracker.Server) bool {
 	r := g.records[s.ID]
-	return r.slowdown >= minSlowdown && r.slowdown >= minSlowdown*g.typicalSlowdown(s)
+	return r.slowdown >= minSlowdown && r.slowdown >= minSlowdown*g.typicalSlowdown(s.Service)
 }
 
-// typicalSlowdown returns the median slowdown of the servers of a service. Servers
-// that were not probed count as fast as declared.
-func (g *Grouper) typicalSlowdown(of *tracker.Server) float64 {
-	var all []float64
+// typicalSlowdown returns the median slowdown of the servers of a service, as of the
+// first call in a step. Servers that were not probed count as fast as declared.
+func (g *Grouper) typicalSlowdown(service identifier.Service) float64 {
+	if typical, known := g.typicalSlowdowns[service]; known {
+		return typical
+	}
+	all := []float64{}
 	for _, s := range g.view.Registry.All() {
-		if r := g.records[s.ID]; s.Service == of.Service && r != nil && s.Usable() {
+		if r := g.records[s.ID]; s.Service == service && r != nil && s.Usable() {
 			all = append(all, max(r.slowdown, 1))
 		}
 	}
-	if len(all) == 0 {
-		return 1
+	typical := 1.0
+	if len(all) > 0 {
+		slices.Sort(all)
+		typical = all[len(all)/2]
 	}
-	slices.Sort(all)
-	return all[len(all)/2]
+	g.typicalSlowdowns[service] = typical
+	return typical
 }
