fronter: keep unsent demands over a failed pull from another core process

Found on the last read: a failed pull from a core process that the front does not follow carries no demands, and replaced those kept from an earlier one by none. No test replays it; it only undercounts demand in an outage.

--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -147,7 +147,7 @@
 			_ = level.Info(f.Logger).Log("msg", "pull from core process failed; trying the other core processes first", "core", core, "err", err)
 		}
 		st.failedPulls = min(st.failedPulls+1, maxFirstPullDoublings)
-		st.unsentDemands = p.GetDemands()
+		st.unsentDemands = append(st.unsentDemands, p.GetDemands()...)
 		st.coreLost = st.coreLost || core == st.core
 		return false
 	}
