forwarder, platform: log each answer that broke off with the parts of its prompt

Cause: msg=request names no part, and its fault is the last error only, so a request that broke off at two servers and then met a refused connection shows the latter. Change: one line for each answer that ends with its connection, with server, team, model, shared parts, events and time, and the counter answers_broken_off.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -10,8 +10,11 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/pooler"
@@ -48,6 +51,10 @@
 	lastEventAt    time.Time
 	predictedDelay time.Duration
 	gotFirstEvent  bool
+	// eventCount is the number of events that were forwarded, and sentAt the time at which
+	// the request was sent.
+	eventCount int
+	sentAt     time.Time
 	// abandoned is set when the request is to be moved to another server, and
 	// silentFor is how long the exchange had been silent then.
 	abandoned bool
@@ -81,7 +88,7 @@
 		return nil, resultNotSent
 	}
 	now := time.Now()
-	x := &exchange{q: q, server: s.ID, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, predictedDelay: c.PredictedDelay}
+	x := &exchange{q: q, server: s.ID, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
 	// When the caller disconnects or the request's deadline passes, a connection
 	// deadline in the past interrupts reads and writes. stopCancelHook prevents that,
 	// and reports false if it has already happened.
@@ -221,10 +228,29 @@
 			q.lastError = fmt.Sprintf("moving elsewhere: no events from %s for %s", x.server, x.silentFor)
 		case q.ctx.Err() == nil:
 			c.RecordFailure(now, x.server)
+			x.recordBreakOff(now, err)
 		}
 	})
 }
 
+// recordBreakOff logs and counts an answer that ended with its connection before it was
+// complete, as those of a server that crashes do. The caller holds mu.
+func (x *exchange) recordBreakOff(now time.Time, err error) {
+	if !isBrokenConn(err) {
+		return
+	}
+	q := x.q
+	q.f.counts.brokenOff.Inc(1)
+	_ = level.Info(q.f.Logger).Log("msg", "answer broke off", "id", q.info.ID, "server", x.server, "route", q.route.Name, "team", q.teamName(),
+		"model", q.info.Model, "parts", joinIDs(q.info.PromptParts), "events", x.eventCount, "after_ms", now.Sub(x.sentAt).Milliseconds(), "fault", err)
+}
+
+// isBrokenConn reports whether a connection to a server was closed or reset by the other
+// side.
+func isBrokenConn(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // finish ends the exchange; later calls have no effect. If complete is set, the
 // response was read to its end, so the connection can be reused. If success is set,
 // the server's earlier failures are forgotten.
@@ -270,14 +296,15 @@
 
 func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
 
-// recordEvents records that one or more events were forwarded to the caller.
-func (x *exchange) recordEvents() {
+// recordEvents records that n events were forwarded to the caller.
+func (x *exchange) recordEvents(n int) {
 	now := time.Now()
 	f := x.q.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pause := now.Sub(x.lastEventAt)
 	x.lastEventAt = now
+	x.eventCount += n
 	if x.gotFirstEvent {
 		f.chooser.RecordGap(now, x.server, pause)
 		f.chooser.RecordResponse(now, x.server)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -48,6 +48,10 @@
 	// Model is empty when the request needs no model.
 	Model        string
 	PromptTokens int
+	// PromptParts names the parts of the prompt that other requests may share, at most
+	// MaxPromptParts of them. The last part, which belongs to the request itself, is
+	// left out.
+	PromptParts []identifier.PromptPart
 	// AnswerTokens is the estimated length of the answer in tokens.
 	AnswerTokens int
 	// Timeout is how long the caller waits for the response; 0 if not stated.
@@ -83,6 +87,8 @@
 
 // Limits that are the same in every deployment.
 const (
+	// MaxPromptParts bounds the parts of a prompt that are looked at.
+	MaxPromptParts = 64
 	// keyValidityMargin is subtracted from MaxRevocationDelay to allow for the time
 	// that a request takes through this process after its key was checked.
 	keyValidityMargin = 500 * time.Millisecond
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -67,6 +67,9 @@
 	// had received it. movedRequests counts the times that a stalled request was
 	// taken away from its server to be moved to another one.
 	retries, movedRequests metrics.Counter
+	// brokenOff counts the answers that ended with their connection before they were
+	// complete.
+	brokenOff metrics.Counter
 	// firstEventMS is the time to the first event of a stream and responseMS the time
 	// to the end of a served response, both in milliseconds.
 	firstEventMS, responseMS metrics.Histogram
@@ -87,6 +90,7 @@
 	return counts{
 		requests: counter("total"), served: counter("served"), refused: counter("refused"), failed: counter("failed"),
 		cut: counter("cut"), retries: counter("repeated"), movedRequests: counter("moved"),
+		brokenOff:    metrics.NewRegisteredCounter("answers_broken_off", r),
 		firstEventMS: histogram("first_event_ms"), responseMS: histogram("answer_ms"),
 	}
 }
@@ -262,7 +266,7 @@
 	}
 	sinceConfirmed, _ := q.f.SinceConfirmed()
 	_ = level.Info(q.f.Logger).Log("msg", "request", "id", q.info.ID, "status", status, "outcome", outcome, "route", route,
-		"team", q.teamName(), "model", q.info.Model, "servers", joinServerIDs(q.tried), "runs", q.possibleRuns,
+		"team", q.teamName(), "model", q.info.Model, "servers", joinIDs(q.tried), "runs", q.possibleRuns,
 		"rejections", q.rejections, "unreached", q.connectFailures, "fault", q.lastError, "expected_ms", q.predictedDelay.Milliseconds(), "first_ms", q.timeToFirstEvent.Milliseconds(),
 		"objective_ms", objective.Milliseconds(), "gap_ms", q.longestGap.Milliseconds(), "gap_objective_ms", gapObjective.Milliseconds(),
 		"total_ms", time.Since(q.receivedAt).Milliseconds(), "catalog", version, "fresh_ago_ms", sinceConfirmed.Milliseconds())
@@ -280,7 +284,7 @@
 	outcomeRejected = "rejected"
 )
 
-func joinServerIDs(ids []identifier.Server) string {
+func joinIDs[T ~string](ids []T) string {
 	var b strings.Builder
 	for i, id := range ids {
 		if i > 0 {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -129,7 +129,7 @@
 
 // writeEvents writes the complete events that have arrived to the caller.
 func (s *stream) writeEvents(x *exchange, events *streamer.Splitter) error {
-	wrote := false
+	written := 0
 	for e, ok := events.Next(); ok; e, ok = events.Next() {
 		if e.HasID && s.hasLastEventID && e.ID <= s.lastEventID {
 			// The previous server already sent this event.
@@ -141,15 +141,15 @@
 		if _, err := s.q.w.Write(e.Data); err != nil {
 			return &callerWriteError{err}
 		}
-		wrote = true
+		written++
 		if e.HasID {
 			s.lastEventID, s.hasLastEventID = e.ID, true
 		}
 	}
-	if !wrote {
+	if written == 0 {
 		return nil
 	}
-	x.recordEvents()
+	x.recordEvents(written)
 	s.q.recordForwarded(time.Now())
 	if err := s.flusher.Flush(); err != nil {
 		return &callerWriteError{err}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -29,6 +29,10 @@
 // Team is the id of a group of callers that share limits.
 type Team string
 
+// PromptPart is the id of a part of a prompt. Requests whose prompts have a part in common
+// name it by the same id.
+type PromptPart string
+
 // Group is the id of a replica group.
 type Group string
 
