--- /dev/null
+++ b/internal/coordinator/crash_harness_test.go
@@ -0,0 +1,446 @@
+package coordinator_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/forwarder"
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/piper"
+	"trefoilhead.org/trefoilhead/internal/tracker"
+)
+
+// partsDialect is the dialect of fronts whose requests have prompts of several parts.
+type partsDialect struct{}
+
+func (partsDialect) ParseRequest(h http.Header) forwarder.RequestInfo {
+	info := forwarder.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), PromptTokens: 500, Timeout: 4 * time.Second}
+	parts := strings.Split(h.Get("Parts"), ",")
+	for _, p := range parts[:len(parts)-1] {
+		info.PromptParts = append(info.PromptParts, identifier.PromptPart(p))
+	}
+	return info
+}
+
+func (partsDialect) RewriteRequest(h http.Header, info forwarder.ForwardInfo) {
+	if info.LastEventID != "" {
+		h.Set("Last-Event-Id", info.LastEventID)
+	}
+}
+
+func (partsDialect) ParseResponse(h http.Header) forwarder.ResponseInfo {
+	return forwarder.ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// servingCatalog adds routes, teams and services with engines to a catalog: one route
+// for each of the models m1 and m2 of one service.
+func servingCatalog(c *cataloger.Catalog) {
+	engine := &cataloger.Engine{Slots: 26, StepsPerPass: 7, StepTime: 6 * time.Millisecond, PrefillTokensPerSecond: 50000, MeanAnswerTokens: 70}
+	for _, m := range crashModels {
+		engine.Models = append(engine.Models, cataloger.Model{Name: m, GroupSize: 1, TimeFactor: 1, DeclaredShare: 0.5})
+		c.Routes = append(c.Routes, cataloger.Route{
+			Name: "r-" + m, Host: "h", PathPrefix: "/" + m + "/", Kind: cataloger.Stream, Timeout: 4 * time.Second, LatencyObjective: 300 * time.Millisecond,
+			GapObjective: 200 * time.Millisecond, Targets: []cataloger.Target{{Service: "llm", Weight: 1}}, MaxAttempts: 2, Resumable: true,
+		})
+	}
+	c.Services = []cataloger.Service{{Name: "llm", Engine: engine}}
+	for _, team := range crashTeams {
+		c.Teams = append(c.Teams, cataloger.Team{Name: identifier.Team(team), Keys: []string{"key-" + team}})
+	}
+}
+
+var (
+	crashModels = []string{"m1", "m2"}
+	crashTeams  = []string{"t1", "t2", "t3", "t4"}
+)
+
+// Timing of the emulated engines.
+const (
+	crashPrefillTime   = 40 * time.Millisecond
+	crashEventInterval = 45 * time.Millisecond
+	crashEventCount    = 10
+	crashRestartTime   = 3 * time.Second
+	crashHeartbeat     = 400 * time.Millisecond
+	// contactTime is how long after a change a deployment expects all processes to know
+	// of it.
+	contactTime = 3 * time.Second
+)
+
+// crashFleet emulates engines that crash when they begin to write an answer to a prompt
+// with one of certain parts, and engines that crash for other reasons.
+type crashFleet struct {
+	s      *system
+	random *rand.Rand
+
+	mu       sync.Mutex
+	crashing map[string]bool
+	engines  []*crashEngine
+	started  int
+	// crashes holds the times at which engines crashed under each crashing part, arrivals
+	// those at which requests with one arrived at an engine.
+	crashes, arrivals map[string][]time.Time
+	stopped           bool
+}
+
+type crashEngine struct {
+	fleet    *crashFleet
+	name     string
+	model    string
+	domain   string
+	born     time.Time
+	listener net.Listener
+	sequence uint64
+	alive    bool
+}
+
+func newCrashFleet(s *system, seed uint64) *crashFleet {
+	return &crashFleet{
+		s: s, random: rand.New(rand.NewPCG(seed, 1)), crashing: map[string]bool{}, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{},
+	}
+}
+
+func (f *crashFleet) startEngine(model, domain string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return
+	}
+	f.started++
+	e := &crashEngine{fleet: f, name: fmt.Sprintf("i-%d", f.started), model: model, domain: domain, born: time.Now(), alive: true}
+	f.engines = append(f.engines, e)
+	l, err := piper.Host{Network: f.s.net, Name: e.name}.Listen(context.Background(), "tcp", e.name+":1")
+	if err != nil {
+		f.s.t.Error(err)
+		return
+	}
+	e.listener = l
+	go e.accept(l)
+	go e.announcePeriodically()
+}
+
+func (e *crashEngine) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(c)
+	}
+}
+
+func (e *crashEngine) isAlive() bool {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.alive
+}
+
+// announcePeriodically sends heartbeats to a core process that runs.
+func (e *crashEngine) announcePeriodically() {
+	for e.isAlive() {
+		e.sequence++
+		names := e.fleet.s.runningCores()
+		if len(names) > 0 {
+			e.fleet.s.coreNamed(names[int(e.sequence)%len(names)]).HandleAnnouncement(tracker.Server{
+				ID: identifier.Server(e.name), Service: "llm", Address: e.name + ":1", Domain: identifier.FailureDomain(e.domain), Slots: 26,
+				Incarnation: uint64(e.born.UnixMilli()), Sequence: e.sequence, LoadedModels: []string{e.model}, LastHeartbeatAt: time.Now(),
+				Membership: tracker.Membership{Group: identifier.Group("g" + e.name), Epoch: 1, State: tracker.StateOpen},
+			})
+		}
+		time.Sleep(crashHeartbeat)
+	}
+}
+
+// crash ends an engine and starts its successor after crashRestartTime.
+func (e *crashEngine) crash() {
+	f := e.fleet
+	f.mu.Lock()
+	if !e.alive {
+		f.mu.Unlock()
+		return
+	}
+	e.alive = false
+	f.mu.Unlock()
+	e.end()
+	time.AfterFunc(crashRestartTime, func() { f.startEngine(e.model, e.domain) })
+}
+
+// crashRandomEngine crashes an engine for a reason of its own.
+func (f *crashFleet) crashRandomEngine() {
+	f.mu.Lock()
+	var alive []*crashEngine
+	for _, e := range f.engines {
+		if e.alive {
+			alive = append(alive, e)
+		}
+	}
+	f.mu.Unlock()
+	if len(alive) > 0 {
+		alive[f.random.IntN(len(alive))].crash()
+	}
+}
+
+func (f *crashFleet) setCrashing(part string, crashing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashing[part] = crashing
+}
+
+func (f *crashFleet) stop() {
+	f.mu.Lock()
+	f.stopped = true
+	engines := slices.Clone(f.engines)
+	for _, e := range engines {
+		e.alive = false
+	}
+	f.mu.Unlock()
+	for _, e := range engines {
+		e.end()
+	}
+}
+
+func (e *crashEngine) end() {
+	_ = e.listener.Close()
+	e.fleet.s.net.Kill(e.name)
+}
+
+func (e *crashEngine) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		part := e.recordArrival(r)
+		time.Sleep(crashPrefillTime)
+		if part != "" {
+			e.recordCrash(part)
+			return
+		}
+		if !e.writeStream(c, r) {
+			return
+		}
+	}
+}
+
+// recordArrival records the arrival of a request and returns its part under which the
+// engine crashes, if there is one.
+func (e *crashEngine) recordArrival(r *http.Request) string {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for p := range strings.SplitSeq(r.Header.Get("Parts"), ",") {
+		if f.crashing[p] {
+			f.arrivals[p] = append(f.arrivals[p], time.Now())
+			return p
+		}
+	}
+	return ""
+}
+
+func (e *crashEngine) recordCrash(part string) {
+	f := e.fleet
+	f.mu.Lock()
+	if e.alive {
+		f.crashes[part] = append(f.crashes[part], time.Now())
+	}
+	f.mu.Unlock()
+	e.crash()
+}
+
+func (e *crashEngine) writeStream(c net.Conn, r *http.Request) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+	first := 1
+	if _, scanErr := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); scanErr == nil {
+		first++
+	}
+	for i := first; i <= crashEventCount && err == nil; i++ {
+		text := fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
+		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		time.Sleep(crashEventInterval)
+	}
+	if err == nil {
+		_, err = io.WriteString(c, "0\r\n\r\n")
+	}
+	return err == nil
+}
+
+// crashCall is a caller's request and what became of it.
+type crashCall struct {
+	at          time.Time
+	model, team string
+	parts       []string
+	began       bool
+	status      int
+}
+
+// crashCallers sends requests to all fronts.
+type crashCallers struct {
+	s      *system
+	fleet  *crashFleet
+	client *http.Client
+	random *rand.Rand
+
+	mu    sync.Mutex
+	calls []crashCall
+	next  int
+	wg    sync.WaitGroup
+}
+
+func newCrashCallers(s *system, f *crashFleet, seed uint64) *crashCallers {
+	host := piper.Host{Network: s.net, Name: "caller"}
+	return &crashCallers{
+		s: s, fleet: f, random: rand.New(rand.NewPCG(seed, 2)),
+		client: &http.Client{Transport: &http.Transport{DialContext: host.DialContext, DisableKeepAlives: true}, Timeout: 5 * time.Second},
+	}
+}
+
+// send sends one request whose prompt has the given parts and a last one of its own.
+func (c *crashCallers) send(model, team string, parts ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	names := c.s.runningFronts()
+	if len(names) == 0 {
+		return
+	}
+	front, id := names[c.random.IntN(len(names))], fmt.Sprintf("q%d", c.next)
+	c.wg.Go(func() {
+		call := crashCall{at: time.Now(), model: model, team: team, parts: parts}
+		call.status, call.began = c.request(front, id, model, team, parts)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.calls = append(c.calls, call)
+	})
+}
+
+// request returns the status of the response and whether an event arrived.
+func (c *crashCallers) request(front, id, model, team string, parts []string) (status int, began bool) {
+	r, err := http.NewRequest("POST", "http://"+front+":80/"+model+"/x", strings.NewReader("ask "+id))
+	if err != nil {
+		return 0, false
+	}
+	r.Host = "h"
+	r.Header.Set("Id", id)
+	r.Header.Set("Key", "key-"+team)
+	r.Header.Set("Model", model)
+	r.Header.Set("Parts", strings.Join(append(slices.Clone(parts), "own-"+id), ","))
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	n, _ := io.CopyN(io.Discard, resp.Body, 1)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.StatusCode == http.StatusOK && n == 1
+}
+
+// sendMixed sends sound requests of all models, teams and first parts for a while, and
+// for each of them, with the given probability, one with one of the crashing parts. The
+// latter share the callers and other parts of the former.
+func (c *crashCallers) sendMixed(d time.Duration, perSecond int, share float64, crashing ...string) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perSecond)) {
+		model := crashModels[c.random.IntN(len(crashModels))]
+		team := crashTeams[c.random.IntN(len(crashTeams))]
+		parts := []string{fmt.Sprintf("shared-%s-%d", model, c.random.IntN(2))}
+		if c.random.IntN(2) == 0 {
+			parts = append(parts, fmt.Sprintf("rare-%d", c.random.IntN(40)))
+		}
+		c.send(model, team, parts...)
+		if len(crashing) > 0 && c.random.Float64() < share {
+			p := crashing[c.random.IntN(len(crashing))]
+			c.send(model, team, slices.Insert(slices.Clone(parts), c.random.IntN(len(parts)+1), p)...)
+		}
+	}
+}
+
+// fifthCrash returns when an engine crashed under a part for the fifth time, or for the
+// last time if there were fewer crashes.
+func (f *crashFleet) fifthCrash(part string) (at time.Time, count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	times := f.crashes[part]
+	if len(times) == 0 {
+		return time.Time{}, 0
+	}
+	return times[min(len(times), 5)-1], len(times)
+}
+
+func (f *crashFleet) arrivalsAfter(part string, at time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, a := range f.arrivals[part] {
+		if a.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// beganShare returns the share of the sound requests selected by use that began.
+func (c *crashCallers) beganShare(use func(crashCall) bool) (share float64, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	began := 0
+	for _, call := range c.calls {
+		sound := !slices.ContainsFunc(call.parts, func(p string) bool { return strings.HasPrefix(p, "crash") })
+		if !sound || !use(call) {
+			continue
+		}
+		count++
+		if call.began {
+			began++
+		}
+	}
+	return float64(began) / float64(max(count, 1)), count
+}
+
+// checkRules checks what the users ask for while requests with a crashing part come: few
+// of them reach engines once five engines have crashed, and sound requests begin at least
+// half as often as before, for each team and for each first part. The requests from
+// before to faultsAt are undisturbed.
+func (c *crashCallers) checkRules(before, faultsAt, end time.Time, crashing ...string) {
+	c.s.t.Helper()
+	latest := faultsAt
+	for _, part := range crashing {
+		at, count := c.fleet.fifthCrash(part)
+		if n := c.fleet.arrivalsAfter(part, at.Add(contactTime)); count >= 5 && n > 3 {
+			c.s.t.Errorf("BUDGET: requests with %s reached engines %d times later than %s after the fifth crash; %d crashes in all", part, n, contactTime, count)
+		}
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	from := latest.Add(2 * contactTime)
+	keys := map[string]func(crashCall) bool{}
+	for _, t := range crashTeams {
+		keys["team "+t] = func(call crashCall) bool { return call.team == t }
+	}
+	for _, m := range crashModels {
+		for i := range 2 {
+			first := fmt.Sprintf("shared-%s-%d", m, i)
+			keys["first part "+first] = func(call crashCall) bool { return call.parts[0] == first }
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(keys)) {
+		use := keys[name]
+		usual, n := c.beganShare(func(call crashCall) bool { return use(call) && call.at.After(before) && call.at.Before(faultsAt) })
+		later, m := c.beganShare(func(call crashCall) bool { return use(call) && call.at.After(from) && call.at.Before(end) })
+		if n >= 20 && m >= 20 && later < usual/2 {
+			c.s.t.Errorf("LOST: sound requests of %s began in %.0f %% of %d cases, before in %.0f %% of %d", name, 100*later, m, 100*usual, n)
+		}
+	}
+}
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -34,6 +35,8 @@
 	folder    string
 	seeds     []string
 	startedAt time.Time
+	// mu guards cores and fronts in tests that start and end processes beside requests.
+	mu        sync.Mutex
 	cores     map[string]*coreHost
 	fronts    map[string]*frontHost
 	diskCount int
@@ -113,7 +116,9 @@
 	h := s.cores[name]
 	if h == nil {
 		h = &coreHost{}
+		s.mu.Lock()
 		s.cores[name] = h
+		s.mu.Unlock()
 		s.replaceDisk(name)
 	}
 	set := s.settings(name)
@@ -126,7 +131,9 @@
 	}
 	c.Init()
 	ctx, stop := context.WithCancel(context.Background())
+	s.mu.Lock()
 	h.core, h.stop = c, stop
+	s.mu.Unlock()
 	h.done.Go(func() { _ = c.Run(ctx) })
 }
 
@@ -145,11 +152,28 @@
 		h.stop()
 		s.net.Kill(name)
 		h.done.Wait()
+		s.mu.Lock()
 		h.stop, h.core = nil, nil
+		s.mu.Unlock()
 	}
 }
 
+// coreNamed returns a core process, or nil while it is not running.
+func (s *system) coreNamed(name string) *coordinator.Coordinator {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cores[name].core
+}
+
+func (s *system) runningFronts() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.fronts))
+}
+
 func (s *system) runningCores() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var names []string
 	for name, h := range s.cores {
 		if h.stop != nil {
@@ -160,27 +184,32 @@
 	return names
 }
 
-func (s *system) startFront() *fronter.Front {
-	const name = "f"
+func (s *system) startFront() *fronter.Front { return s.startFrontNamed("f", emptyDialect{}) }
+
+func (s *system) startFrontNamed(name string, d forwarder.Dialect) *fronter.Front {
 	f := &fronter.Front{
 		Settings: s.settings(name), Logger: s.logger(name), Network: piper.Host{Network: s.net, Name: name},
-		Dialect: emptyDialect{}, DecodeCatalog: decode, ReadinessHandler: http.NotFoundHandler(),
+		Dialect: d, DecodeCatalog: decode, ReadinessHandler: http.NotFoundHandler(),
 		Elapsed: func() time.Duration { return time.Since(s.startedAt) }, Seed: 5,
 	}
 	f.Init()
 	ctx, stop := context.WithCancel(context.Background())
 	h := &frontHost{front: f, stop: stop}
+	s.mu.Lock()
 	s.fronts[name] = h
+	s.mu.Unlock()
 	h.done.Go(func() { _ = f.Run(ctx) })
 	return f
 }
 
 func (s *system) killFront(name string) {
+	s.mu.Lock()
 	h := s.fronts[name]
+	delete(s.fronts, name)
+	s.mu.Unlock()
 	h.stop()
 	s.net.Kill(name)
 	h.done.Wait()
-	delete(s.fronts, name)
 }
 
 // unresponsiveOrderSender returns OutcomeUnanswered for every order.
@@ -205,6 +234,8 @@
 	Version cataloger.Version
 	Text    string
 	Invalid bool
+	// Serving adds what fronts need to serve requests.
+	Serving bool
 }
 
 func decode(data []byte) (*cataloger.Catalog, error) {
@@ -216,6 +247,9 @@
 	if t.Invalid {
 		c.Version = 0
 	}
+	if t.Serving {
+		servingCatalog(c)
+	}
 	return c, c.Index()
 }
 
