isolator: keep requests with a part of a prompt that crashes servers from them

What callers saw: BUDGET: requests of one route crashed the heads of all groups of a model within a second, and again whenever groups had formed; sound requests of the route were refused or cut meanwhile. Cause: a front judges servers, not requests. An answer that broke off counted against its server only, the request was sent to a second one, and the next request with the same part to a third. No process added up what the requests had in common. Change: fronts record answers that broke off at their start, and sound ones, by part of the prompt; evidence spreads over core processes to all fronts; the leader decides on an isolation, which the log keeps over restarts. It covers what all crashed requests had in common: parts, and the team and model if always the same. A request that may have crashed a server is not repeated while a part of it is suspect. Isolations end by a trial that is answered, or when no such requests come. Shown by the lines isolation is decided, in force, has ended; requests_isolated; isolations.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,7 @@
 	"trefoilhead.org/trefoilhead/internal/exposer"
 	"trefoilhead.org/trefoilhead/internal/grouper"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/isolator"
 	"trefoilhead.org/trefoilhead/internal/journaler"
 	"trefoilhead.org/trefoilhead/internal/keeper"
 	"trefoilhead.org/trefoilhead/internal/linker"
@@ -145,11 +147,22 @@
 	unreported   map[identifier.Server]bool
 	reportUrgent bool
 	peers        map[identifier.VM]*peer
-	fronts       map[identifier.VM]*front
+	// helloEvidenceRevision is the revision of the ledger as of the last hello, and
+	// lastFullEvidenceAt when a hello last carried all of it.
+	helloEvidenceRevision uint64
+	lastFullEvidenceAt    time.Time
+	fronts                map[identifier.VM]*front
 	// localDemand sums up the demand that the fronts pulling from this process
 	// have reported.
 	localDemand demandTotals
 	catalog     *cataloger.Catalog
+	// ledger holds the evidence about requests that crash backend servers, from all
+	// fronts of the system.
+	ledger isolator.Ledger
+	// decider decides on isolations while this process leads. Only runLoop uses it.
+	decider isolator.Decider
+	// isolating is set while a decision is being proposed to the log.
+	isolating atomic.Bool
 
 	confirmation confirmation
 	placement    placement
@@ -302,6 +315,7 @@
 			lastReport = now
 			c.sendReports(now)
 		}
+		c.runIsolation(ctx, now)
 		c.runPlacement(ctx, now)
 	}
 }
@@ -325,7 +339,8 @@
 				"teams", len(cat.Teams))
 		}
 	}
-	_ = level.Info(c.Logger).Log("msg", "catalog state changed", "version", state.Version, "evacuated", len(state.Evacuated))
+	_ = level.Info(c.Logger).Log("msg", "catalog state changed", "version", state.Version, "evacuated", len(state.Evacuated),
+		"isolations", len(state.Isolations))
 	c.registry.AdvanceRevision()
 	c.notifyChanged()
 	return changed
--- a/internal/coordinator/crash_harness_test.go
+++ b/internal/coordinator/crash_harness_test.go
@@ -284,6 +284,9 @@
 	parts       []string
 	began       bool
 	status      int
+	// isolated is set if the request was refused because servers crash under such
+	// requests.
+	isolated bool
 }
 
 // crashCallers sends requests to all fronts.
@@ -319,18 +322,19 @@
 	front, id := names[c.random.IntN(len(names))], fmt.Sprintf("q%d", c.next)
 	c.wg.Go(func() {
 		call := crashCall{at: time.Now(), model: model, team: team, parts: parts}
-		call.status, call.began = c.request(front, id, model, team, parts)
+		call.status, call.began, call.isolated = c.request(front, id, model, team, parts)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.calls = append(c.calls, call)
 	})
 }
 
-// request returns the status of the response and whether an event arrived.
-func (c *crashCallers) request(front, id, model, team string, parts []string) (status int, began bool) {
+// request returns the status of the response, whether an event arrived, and whether the
+// request was refused because of an isolation.
+func (c *crashCallers) request(front, id, model, team string, parts []string) (status int, began, isolated bool) {
 	r, err := http.NewRequest("POST", "http://"+front+":80/"+model+"/x", strings.NewReader("ask "+id))
 	if err != nil {
-		return 0, false
+		return 0, false, false
 	}
 	r.Host = "h"
 	r.Header.Set("Id", id)
@@ -339,12 +343,13 @@
 	r.Header.Set("Parts", strings.Join(append(slices.Clone(parts), "own-"+id), ","))
 	resp, err := c.client.Do(r)
 	if err != nil {
-		return 0, false
+		return 0, false, false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	n, _ := io.CopyN(io.Discard, resp.Body, 1)
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, resp.StatusCode == http.StatusOK && n == 1
+	// An answer that breaks off has begun all the same.
+	body, _ := io.ReadAll(resp.Body)
+	ok := resp.StatusCode == http.StatusOK
+	return resp.StatusCode, ok && len(body) > 0, !ok && strings.HasPrefix(string(body), "isolated")
 }
 
 // sendMixed sends sound requests of all models, teams and first parts for a while, and
@@ -390,14 +395,32 @@
 	return n
 }
 
+func isSound(call crashCall) bool {
+	return !slices.ContainsFunc(call.parts, func(p string) bool { return strings.HasPrefix(p, "crash") })
+}
+
+// countIsolated counts the sound requests, and those that isolations refused.
+func (c *crashCallers) countIsolated() (refused, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.calls {
+		if isSound(call) {
+			count++
+			if call.isolated {
+				refused++
+			}
+		}
+	}
+	return refused, count
+}
+
 // beganShare returns the share of the sound requests selected by use that began.
 func (c *crashCallers) beganShare(use func(crashCall) bool) (share float64, count int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	began := 0
 	for _, call := range c.calls {
-		sound := !slices.ContainsFunc(call.parts, func(p string) bool { return strings.HasPrefix(p, "crash") })
-		if !sound || !use(call) {
+		if !isSound(call) || !use(call) {
 			continue
 		}
 		count++
@@ -417,13 +440,19 @@
 	latest := faultsAt
 	for _, part := range crashing {
 		at, count := c.fleet.fifthCrash(part)
-		if n := c.fleet.arrivalsAfter(part, at.Add(contactTime)); count >= 5 && n > 3 {
+		n := c.fleet.arrivalsAfter(part, at.Add(contactTime))
+		c.s.t.Logf("%s: %d crashes, %d arrivals later than %s after the fifth or last one", part, count, n, contactTime)
+		if count >= 5 && n > 3 {
 			c.s.t.Errorf("BUDGET: requests with %s reached engines %d times later than %s after the fifth crash; %d crashes in all", part, n, contactTime, count)
 		}
 		if at.After(latest) {
 			latest = at
 		}
 	}
+	refused, calls := c.countIsolated()
+	if refused > 0 {
+		c.s.t.Errorf("%d of %d sound requests were refused by isolations", refused, calls)
+	}
 	from := latest.Add(2 * contactTime)
 	keys := map[string]func(crashCall) bool{}
 	for _, t := range crashTeams {
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -88,7 +89,7 @@
 		}
 		front := fmt.Sprintf("f%d", random.IntN(5))
 		core := initialCores[random.IntN(len(initialCores))]
-		switch random.IntN(5) {
+		switch random.IntN(7) {
 		case 0, 1:
 			cs.fleet.crashRandomEngine()
 		case 2:
@@ -109,6 +110,101 @@
 					cs.net.SetPartitioned(core, other, false)
 				}
 			}
+		case 5:
+			for _, c := range initialCores {
+				cs.net.SetPartitioned(front, c, true)
+			}
+			time.Sleep(time.Second)
+			for _, c := range initialCores {
+				cs.net.SetPartitioned(front, c, false)
+			}
+		case 6:
+			cs.restartCores()
 		}
 	}
 }
+
+func (cs *crashSystem) restartCores() {
+	cs.killCores(initialCores...)
+	for _, c := range initialCores {
+		cs.startCore(c, false)
+	}
+}
+
+// isolate lets requests with crash-1 come until they are refused.
+func (cs *crashSystem) isolate() {
+	cs.t.Helper()
+	cs.fleet.setCrashing("crash-1", true)
+	cs.callers.sendMixed(6*time.Second, 60, 0.08, "crash-1")
+	if n := cs.fleet.arrivalsAfter("crash-1", time.Now().Add(-contactTime)); n > 0 {
+		cs.t.Fatalf("%d requests with crash-1 reached engines in the last %s", n, contactTime)
+	}
+}
+
+// TestIsolationOutlivesRestartOfAllProcesses guards against a restart after which servers
+// have to crash again until requests are refused.
+func TestIsolationOutlivesRestartOfAllProcesses(t *testing.T) {
+	runInCrashSystem(t, 1, 3, func(cs *crashSystem) {
+		cs.isolate()
+		fronts := cs.runningFronts()
+		for _, f := range fronts {
+			cs.killFront(f)
+		}
+		cs.restartCores()
+		for _, f := range fronts {
+			cs.startFrontNamed(f, partsDialect{})
+		}
+		restartedAt := time.Now()
+		cs.callers.sendMixed(10*time.Second, 60, 0.08, "crash-1")
+		if n := cs.fleet.arrivalsAfter("crash-1", restartedAt); n > 0 {
+			t.Errorf("after the restart %d requests with crash-1 reached engines", n)
+		}
+	})
+}
+
+// TestIsolationEndsWithItsCause guards against requests that are refused although servers
+// do not crash under them any more.
+func TestIsolationEndsWithItsCause(t *testing.T) {
+	runInCrashSystem(t, 1, 3, func(cs *crashSystem) {
+		cs.isolate()
+		cs.fleet.setCrashing("crash-1", false)
+		cs.callers.sendMixed(40*time.Second, 20, 0.3, "crash-1")
+		cs.callers.wg.Wait()
+		cs.callers.mu.Lock()
+		defer cs.callers.mu.Unlock()
+		began, count := 0, 0
+		for _, call := range cs.callers.calls {
+			if slices.Contains(call.parts, "crash-1") && time.Since(call.at) < 8*time.Second {
+				count++
+				if call.began {
+					began++
+				}
+			}
+		}
+		if count < 10 || began < count {
+			t.Errorf("%d of %d requests with the part began although no server crashes any more", began, count)
+		}
+	})
+}
+
+// TestTeamDoesNotShutOutAnother guards against a team whose requests crash servers and
+// name a part of another team's prompts.
+func TestTeamDoesNotShutOutAnother(t *testing.T) {
+	runInCrashSystem(t, 1, 3, func(cs *crashSystem) {
+		cs.fleet.setCrashing("crash-1", true)
+		for range 100 {
+			cs.callers.send("m1", "t1", "victims-part", "crash-1")
+			cs.callers.sendMixed(100*time.Millisecond, 60, 0)
+		}
+		cs.callers.wg.Wait()
+		for range 20 {
+			cs.callers.send("m1", "t2", "victims-part")
+			time.Sleep(50 * time.Millisecond)
+		}
+		cs.callers.wg.Wait()
+		share, count := cs.callers.beganShare(func(call crashCall) bool { return call.team == "t2" && call.parts[0] == "victims-part" })
+		if count != 20 || share < 1 {
+			t.Errorf("%.0f %% of %d requests of the other team began", 100*share, count)
+		}
+	})
+}
--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -46,6 +46,7 @@
 		c.fronts[from] = &front{lastPullAt: time.Now(), pullWait: wait, loads: p.GetLoads(), suspicions: p.GetDoubts()}
 	}
 	c.localDemand.add(p.GetDemands())
+	c.mergeEvidence(time.Now(), p.GetEvidence())
 	for {
 		behind := p.GetRegistry() != c.registryID || p.GetRevision() != c.registry.Revision()
 		changed := c.changed
@@ -99,12 +100,20 @@
 	for _, d := range state.Evacuated {
 		u.Evacuated = append(u.Evacuated, string(d))
 	}
+	if p.GetIsolationChanges() != state.ChangeCount {
+		u.HasIsolations, u.Isolations = true, encoder.EncodeIsolations(state.Isolations)
+	}
 	u.Revision = c.registry.Revision()
 	servers := c.registry.ChangedSince(p.GetRevision())
 	if p.GetRegistry() != c.registryID {
 		u.Full = true
 		servers = c.registry.All()
 	}
+	knownEvidence := p.GetEvidenceRevision()
+	if u.Full {
+		knownEvidence = 0
+	}
+	u.Evidence, u.EvidenceRevision = encoder.EncodeEvidence(now, c.ledger.ChangedSince(knownEvidence)), c.ledger.Revision()
 	for _, s := range servers {
 		u.Servers = append(u.Servers, encoder.EncodeServer(now, s))
 	}
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -105,6 +105,7 @@
 		c.markAllUnreported()
 	}
 	p.lastHelloAt, p.lastHello = now, h
+	c.mergeEvidence(now, h.GetEvidence())
 	c.driver.MarkReplaced(from, replicator.NodeID(h.GetVoterId()))
 	for _, k := range h.GetKnown() {
 		vm := identifier.VM(k)
@@ -149,6 +150,7 @@
 	h := &peerv1.CoreHello{
 		Address: string(c.self), VoterId: string(st.ID), FailureDomain: string(c.Settings.FailureDomain),
 		Fronts: uint32(c.countLocalFronts(now)), Loads: c.localLoads(now), Doubts: c.localSuspicions(now), Demands: c.localDemand.encode(),
+		Evidence: c.helloEvidence(now),
 	}
 	var to []identifier.VM
 	for vm, p := range c.peers {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -17,6 +17,7 @@
 
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/isolator"
 	"trefoilhead.org/trefoilhead/internal/pooler"
 )
 
@@ -40,6 +41,8 @@
 type exchange struct {
 	q      *request
 	server identifier.Server
+	// serverName names the server and its incarnation.
+	serverName string
 	// runNumber is the request's possibleRuns including this exchange.
 	runNumber      int
 	conn           *pooler.Conn
@@ -55,6 +58,11 @@
 	// the request was sent.
 	eventCount int
 	sentAt     time.Time
+	// firstEventAt is the time of the first event. sound is set once the answer has
+	// counted as one that went on, and isolated if an isolation ended the exchange.
+	firstEventAt time.Time
+	sound        bool
+	isolated     bool
 	// abandoned is set when the request is to be moved to another server, and
 	// silentFor is how long the exchange had been silent then.
 	abandoned bool
@@ -88,7 +96,7 @@
 		return nil, resultNotSent
 	}
 	now := time.Now()
-	x := &exchange{q: q, server: s.ID, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
+	x := &exchange{q: q, server: s.ID, serverName: isolator.NewServerName(s.ID, s.Incarnation), runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
 	// When the caller disconnects or the request's deadline passes, a connection
 	// deadline in the past interrupts reads and writes. stopCancelHook prevents that,
 	// and reports false if it has already happened.
@@ -224,6 +232,8 @@
 	q.lastError = err.Error()
 	x.updateChooser(func(c *chooser.Chooser, now time.Time) {
 		switch {
+		case x.isolated:
+			q.lastError = "servers crash under such requests"
 		case x.abandoned:
 			q.lastError = fmt.Sprintf("moving elsewhere: no events from %s for %s", x.server, x.silentFor)
 		case q.ctx.Err() == nil:
@@ -241,6 +251,7 @@
 	}
 	q := x.q
 	q.f.counts.brokenOff.Inc(1)
+	x.recordCrash(now)
 	_ = level.Info(q.f.Logger).Log("msg", "answer broke off", "id", q.info.ID, "server", x.server, "route", q.route.Name, "team", q.teamName(),
 		"model", q.info.Model, "parts", joinIDs(q.info.PromptParts), "events", x.eventCount, "after_ms", now.Sub(x.sentAt).Milliseconds(), "fault", err)
 }
@@ -269,6 +280,7 @@
 	}
 	if success {
 		f.chooser.RecordSuccess(x.server)
+		x.recordSound(time.Now())
 	}
 	f.mu.Unlock()
 	// If stopCancelHook reports false, the connection's deadline has been set to the
@@ -305,12 +317,15 @@
 	pause := now.Sub(x.lastEventAt)
 	x.lastEventAt = now
 	x.eventCount += n
+	if x.eventCount >= soundEvents {
+		defer x.recordSound(now)
+	}
 	if x.gotFirstEvent {
 		f.chooser.RecordGap(now, x.server, pause)
 		f.chooser.RecordResponse(now, x.server)
 		return
 	}
-	x.gotFirstEvent = true
+	x.gotFirstEvent, x.firstEventAt = true, now
 	f.chooser.RecordFirstEvent(now, x.server, x.q.info.PromptTokens)
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -129,6 +129,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Self is the address by which core processes know this front.
+	Self identifier.VM
 	// Metrics is where the metrics are registered. If nil, Init creates a registry
 	// that is not exposed.
 	Metrics metrics.Registry
@@ -149,6 +151,8 @@
 	// lastStallCheck is the time of the last call of MoveStalledRequests.
 	lastStallCheck time.Time
 
+	isolation isolationState
+
 	counts counts
 }
 
@@ -179,6 +183,7 @@
 		f.Metrics = metrics.NewRegistry()
 	}
 	f.counts = newCounts(f.Metrics)
+	metrics.NewRegisteredFunctionalGauge("isolations", f.Metrics, f.isolationCount)
 }
 
 // SetCatalog applies a catalog, unless its version is not newer than the current
@@ -251,7 +256,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
-	f.recordDemand(q)
+	if !f.recordDemand(q) {
+		q.respondError(http.StatusServiceUnavailable, outcomeIsolated, isolationRetryAfter)
+		return
+	}
 	if q.route.Kind == cataloger.Stream {
 		q.serveStream()
 	} else {
@@ -322,11 +330,15 @@
 }
 
 // recordDemand chooses the request's service and adds the request to the demand
-// for its service and model.
-func (f *Forwarder) recordDemand(q *request) {
+// for its service and model. It reports false, and adds nothing, if the request may not
+// be sent to servers because they crash under such requests.
+func (f *Forwarder) recordDemand(q *request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q.service = f.pickService(q.route)
+	if !q.admit(q.receivedAt) {
+		return false
+	}
 	k := demandKey{q.service, q.info.Model}
 	d := f.demands[k]
 	if d == nil {
@@ -339,6 +351,7 @@
 		d.EngineTime += svc.Engine.EstimateTime(q.info.Model, q.info.PromptTokens, q.info.AnswerTokens)
 	}
 	f.retryBudget(q.service).RecordRequest(q.receivedAt)
+	return true
 }
 
 // pickService picks one of the route's targets at random, in proportion to their
--- /dev/null
+++ b/internal/forwarder/isolation.go
@@ -0,0 +1,165 @@
+package forwarder
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"trefoilhead.org/trefoilhead/internal/isolator"
+)
+
+const (
+	// soundEvents is the number of events after which the server of an answer is taken
+	// not to crash at its start.
+	soundEvents = 2
+	// isolationRetryAfter is the Retry-After of a request that is kept from servers. It
+	// is the time to the first trial.
+	isolationRetryAfter = 30 * time.Second
+	// maxTrialStateAge is the age of this front's state from which it makes no trial,
+	// because another front may have been granted one since.
+	maxTrialStateAge = 1500 * time.Millisecond
+	outcomeIsolated  = "isolated"
+)
+
+// isolationState is what a front knows of requests that crash servers. The Forwarder's mu
+// guards it.
+type isolationState struct {
+	ledger     isolator.Ledger
+	isolations []isolator.Isolation
+	// usedTrials holds the number of the last trial of each isolation that this front has
+	// made.
+	usedTrials map[isolator.Key]uint32
+}
+
+// EvidenceSince returns the evidence about requests that crash servers that has changed
+// after a revision, and the current revision.
+func (f *Forwarder) EvidenceSince(revision uint64) ([]isolator.Evidence, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isolation.ledger.Expire(time.Now(), f.isolation.isolations)
+	return f.isolation.ledger.ChangedSince(revision), f.isolation.ledger.Revision()
+}
+
+// MergeEvidence adds the evidence of another process.
+func (f *Forwarder) MergeEvidence(now time.Time, e isolator.Evidence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isolation.ledger.Merge(now, e)
+}
+
+// SetIsolations replaces the isolations in force. Requests that they cover and that have
+// received no event yet are taken from their servers.
+func (f *Forwarder) SetIsolations(next []isolator.Isolation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st := &f.isolation
+	for _, i := range next {
+		if !slices.ContainsFunc(st.isolations, func(o isolator.Isolation) bool { return o.Equal(&i) }) {
+			_ = level.Info(f.Logger).Log("msg", "isolation in force", "service", i.Key.Service, "part", i.Key.Part,
+				"parts", joinIDs(i.Traits.Parts), "team", i.Traits.Team, "model", i.Traits.Model, "trials", i.Trials, "trial_front", i.TrialFront)
+		}
+	}
+	for _, o := range st.isolations {
+		if !slices.ContainsFunc(next, func(i isolator.Isolation) bool { return i.Key == o.Key }) {
+			delete(st.usedTrials, o.Key)
+			_ = level.Info(f.Logger).Log("msg", "isolation has ended", "service", o.Key.Service, "part", o.Key.Part)
+		}
+	}
+	st.isolations = next
+	for x := range f.activeExchanges {
+		if !x.gotFirstEvent && !x.q.isTrial && x.q.isolation() != nil {
+			x.isolated = true
+			_ = x.conn.SetDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// isolation returns the isolation that covers the request, or nil. The caller holds mu.
+func (q *request) isolation() *isolator.Isolation {
+	if len(q.info.PromptParts) == 0 {
+		return nil
+	}
+	for n := range q.f.isolation.isolations {
+		if i := &q.f.isolation.isolations[n]; i.Covers(q.service, q.traits()) {
+			return i
+		}
+	}
+	return nil
+}
+
+// traits returns the properties by which requests that crash servers are recognized.
+func (q *request) traits() isolator.Traits {
+	if q.cachedTraits == nil {
+		t := isolator.NewTraits(q.teamName(), q.info.Model, q.info.PromptParts)
+		q.cachedTraits = &t
+	}
+	return *q.cachedTraits
+}
+
+// admit reports whether the request may be sent to servers. If an isolation covers it,
+// that is only the case for a trial. The caller holds mu.
+func (q *request) admit(now time.Time) bool {
+	i := q.isolation()
+	if i == nil {
+		return true
+	}
+	f := q.f
+	st := &f.isolation
+	age, ever := f.SinceConfirmed()
+	if i.TrialFront == f.Self && i.Trials > st.usedTrials[i.Key] && ever && age < maxTrialStateAge {
+		if st.usedTrials == nil {
+			st.usedTrials = map[isolator.Key]uint32{}
+		}
+		st.usedTrials[i.Key] = i.Trials
+		q.isTrial = true
+		_ = level.Info(f.Logger).Log("msg", "request is let through as a trial", "id", q.info.ID, "service", i.Key.Service, "part", i.Key.Part, "trials", i.Trials)
+		return true
+	}
+	st.ledger.RecordRefusal(now, i.Key, f.Self)
+	f.counts.isolated.Inc(1)
+	return false
+}
+
+// mayRepeat reports whether the request may be sent to another server after one that may
+// have run it. A request that may have crashed a server, with a part under which another
+// one has crashed, is not sent again. The caller holds mu.
+func (q *request) mayRepeat() bool {
+	if q.isTrial || q.isolation() != nil {
+		return false
+	}
+	return q.crashedServer == "" || !q.f.isolation.ledger.IsSuspect(q.service, q.traits(), q.crashedServer)
+}
+
+func (x *exchange) run() isolator.Run {
+	return isolator.Run{Service: x.q.service, Traits: x.q.traits(), Server: x.serverName}
+}
+
+// recordCrash records an answer that broke off at its start. The caller holds mu.
+func (x *exchange) recordCrash(now time.Time) {
+	if x.eventCount >= soundEvents || len(x.q.info.PromptParts) == 0 {
+		return
+	}
+	x.q.crashedServer = x.serverName
+	x.q.f.isolation.ledger.RecordCrash(now, x.run())
+}
+
+// recordSound records once that the answer began and went on. The caller holds mu.
+func (x *exchange) recordSound(now time.Time) {
+	if x.sound || len(x.q.info.PromptParts) == 0 && x.q.f.isolation.ledger.IsEmpty() {
+		return
+	}
+	x.sound = true
+	beganAt := x.firstEventAt
+	if beganAt.IsZero() {
+		beganAt = now
+	}
+	x.q.f.isolation.ledger.RecordSound(now, beganAt, x.run())
+}
+
+// isolationCount returns the number of isolations in force.
+func (f *Forwarder) isolationCount() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int64(len(f.isolation.isolations))
+}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -16,6 +16,7 @@
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/isolator"
 )
 
 // request is a caller's request that is being served.
@@ -44,6 +45,12 @@
 	// retryReserved is set while a retry has been taken from the budget but not been
 	// made yet. It is guarded by the Forwarder's mu.
 	retryReserved bool
+	// cachedTraits is set by the first call of traits. isTrial is set if an isolation
+	// covers the request and it is sent all the same. crashedServer is the server that
+	// broke off an answer to this request at its start.
+	cachedTraits  *isolator.Traits
+	isTrial       bool
+	crashedServer string
 	// connectFailures counts the connections that could not be opened.
 	connectFailures  int
 	lastError        string
@@ -70,6 +77,8 @@
 	// brokenOff counts the answers that ended with their connection before they were
 	// complete.
 	brokenOff metrics.Counter
+	// isolated counts the requests that an isolation kept from servers.
+	isolated metrics.Counter
 	// firstEventMS is the time to the first event of a stream and responseMS the time
 	// to the end of a served response, both in milliseconds.
 	firstEventMS, responseMS metrics.Histogram
@@ -90,6 +99,7 @@
 	return counts{
 		requests: counter("total"), served: counter("served"), refused: counter("refused"), failed: counter("failed"),
 		cut: counter("cut"), retries: counter("repeated"), movedRequests: counter("moved"),
+		isolated:     counter("isolated"),
 		brokenOff:    metrics.NewRegisteredCounter("answers_broken_off", r),
 		firstEventMS: histogram("first_event_ms"), responseMS: histogram("answer_ms"),
 	}
@@ -200,7 +210,7 @@
 	}
 	q.f.mu.Lock()
 	defer q.f.mu.Unlock()
-	if !q.reserveRetry(time.Now()) {
+	if last == resultMayHaveRun && !q.mayRepeat() || !q.reserveRetry(time.Now()) {
 		return false
 	}
 	q.retryReserved = false
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -111,6 +111,12 @@
 	// process that has just started may have applied fewer; its list of evacuated
 	// failure domains is then ignored.
 	changeCount uint64
+	// isolationChanges is the same for the isolations. evidenceRevision is the revision of
+	// the core process's evidence that has been merged, and sentEvidence that of this
+	// front's own evidence that the core process has received.
+	isolationChanges uint64
+	evidenceRevision uint64
+	sentEvidence     uint64
 	// avoidUntil holds the core processes that failed recently, and until when they
 	// are avoided.
 	avoidUntil map[identifier.VM]time.Time
@@ -153,7 +159,7 @@
 	f.forwarder = forwarder.Forwarder{
 		Dialect: f.Dialect, Pool: &f.pool, Logger: f.Logger, Elapsed: f.Elapsed, MaxRevocationDelay: b.MaxRevocationDelay(),
 		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow(),
-		Metrics: f.Metrics,
+		Metrics: f.Metrics, Self: f.self,
 	}
 	f.forwarder.Init(&chooser.Chooser{
 		Domain: set.FailureDomain, Rand: rand.New(rand.NewPCG(f.Seed, addressHash+1)), FrontCount: 1,
--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -133,6 +133,9 @@
 		CatalogVersion: uint64(st.catalogVersion), WaitMs: uint32(wait.Milliseconds()), MaxStateAgeMs: f.maxStateAge(),
 	}
 	own := f.forwarder.OwnLoads()
+	evidence, evidenceRevision := f.forwarder.EvidenceSince(st.sentEvidence)
+	p.Evidence = encoder.EncodeEvidence(now, evidence)
+	p.EvidenceRevision, p.IsolationChanges = st.evidenceRevision, st.isolationChanges
 	if core == st.core {
 		// The loads of a front that reported to several core processes would be counted
 		// several times.
@@ -156,7 +159,10 @@
 		return false
 	}
 	st.coreLost = false
+	st.sentEvidence = evidenceRevision
 	if st.core != core {
+		// The new one may not have the evidence that the former one was sent.
+		st.sentEvidence = 0
 		_ = level.Info(f.Logger).Log("msg", "pulling from core process", "core", core, "was", st.core,
 			"catalog", u.GetCatalogVersion(), "confirmed_ago_ms", u.GetConfirmedAgoMs())
 		st.core = core
@@ -239,6 +245,7 @@
 		f.forwarder.SetConfirmed(calledAt - time.Duration(u.GetConfirmedAgoMs())*time.Millisecond)
 	}
 	f.applyServers(now, u)
+	f.applyIsolations(now, u)
 	loads := map[identifier.Server]chooser.Load{}
 	for _, l := range u.GetLoads() {
 		id := identifier.Server(l.GetId())
@@ -286,6 +293,20 @@
 	}
 }
 
+// applyIsolations applies the isolations and the evidence in an update. Isolations of a
+// core process that has applied fewer changes are older and are ignored.
+func (f *Front) applyIsolations(now time.Time, u *peerv1.FrontUpdate) {
+	st := &f.state
+	for _, m := range u.GetEvidence() {
+		f.forwarder.MergeEvidence(now, encoder.DecodeEvidence(now, m))
+	}
+	st.evidenceRevision = u.GetEvidenceRevision()
+	if u.GetHasIsolations() && u.GetChanges() > st.isolationChanges {
+		st.isolationChanges = u.GetChanges()
+		f.forwarder.SetIsolations(encoder.DecodeIsolations(u.GetIsolations()))
+	}
+}
+
 // unlistedTimeout returns how long a server that the core process does not list is
 // kept: as long as the core processes take to detect that a server is silent.
 func (f *Front) unlistedTimeout() time.Duration {
--- /dev/null
+++ b/internal/isolator/isolator.go
@@ -0,0 +1,163 @@
+// Package isolator finds the parts of prompts that crash backend servers, and keeps
+// requests with such parts from servers.
+//
+// A server that crashes breaks off the answers to all its requests, and nothing says
+// which of them was the cause. A Ledger collects, for each part of a prompt, the crashes
+// at the start of answers to requests with that part, and the answers to such requests
+// that began and went on. A part that causes crashes has no sound answers, while other
+// requests of the same model have. Ledgers of several processes exchange their evidence
+// in any order and more than once; Merge reaches the same result.
+//
+// A Decider turns the evidence into Isolations. An Isolation covers only the requests that
+// have all in common that the crashed ones had in common: parts of the prompt, and the
+// team and the model if these were always the same. Callers of one team can therefore not
+// have the requests of another one refused. An Isolation ends when a request that it
+// covers, let through as a trial, is answered, or when no such requests come any more.
+//
+// The package does no I/O and reads no clock. Its types are not safe for concurrent use.
+package isolator
+
+import (
+	"slices"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// Key names a part of prompts at one service.
+type Key struct {
+	Service identifier.Service    `cbor:"service"`
+	Part    identifier.PromptPart `cbor:"part"`
+}
+
+// Traits are the properties that several requests have in common. An empty Team or Model
+// means that the requests differ in it or that it is not known.
+type Traits struct {
+	Team  identifier.Team `cbor:"team"`
+	Model string          `cbor:"model"`
+	// Parts is sorted.
+	Parts []identifier.PromptPart `cbor:"parts"`
+}
+
+// NewTraits returns the traits of one request.
+func NewTraits(t identifier.Team, model string, parts []identifier.PromptPart) Traits {
+	sorted := slices.Clone(parts)
+	slices.Sort(sorted)
+	return Traits{Team: t, Model: model, Parts: slices.Compact(sorted)}
+}
+
+// common returns what both have in common.
+func (t Traits) common(o Traits) Traits {
+	if t.Team != o.Team {
+		t.Team = ""
+	}
+	if t.Model != o.Model {
+		t.Model = ""
+	}
+	var parts []identifier.PromptPart
+	for _, p := range t.Parts {
+		if _, found := slices.BinarySearch(o.Parts, p); found {
+			parts = append(parts, p)
+		}
+	}
+	t.Parts = parts
+	return t
+}
+
+// covers reports whether a request with the traits o has all the traits t.
+func (t Traits) covers(o Traits) bool {
+	if t.Team != "" && t.Team != o.Team || t.Model != "" && t.Model != o.Model {
+		return false
+	}
+	for _, p := range t.Parts {
+		if _, found := slices.BinarySearch(o.Parts, p); !found {
+			return false
+		}
+	}
+	return true
+}
+
+func (t Traits) equal(o Traits) bool {
+	return t.Team == o.Team && t.Model == o.Model && slices.Equal(t.Parts, o.Parts)
+}
+
+// Run is a request at one server.
+type Run struct {
+	Service identifier.Service
+	Traits  Traits
+	// Server names the server and its incarnation.
+	Server string
+}
+
+// NewServerName returns the name of one incarnation of a server.
+func NewServerName(id identifier.Server, incarnation uint64) string {
+	return string(id) + "@" + formatUint(incarnation)
+}
+
+// Isolation keeps the requests that have all Traits, one of which is the Key's part, from
+// the servers of a service.
+type Isolation struct {
+	Key    Key    `cbor:"key"`
+	Traits Traits `cbor:"traits"`
+	// Trials counts the requests that were let through to see whether servers still
+	// crash. The last one was granted to TrialFront.
+	Trials     uint32        `cbor:"trials"`
+	TrialFront identifier.VM `cbor:"trial_front"`
+}
+
+// Covers reports whether an Isolation applies to a request.
+func (i *Isolation) Covers(s identifier.Service, t Traits) bool {
+	return i.Key.Service == s && i.Traits.covers(t)
+}
+
+// Equal reports whether two Isolations are the same.
+func (i *Isolation) Equal(o *Isolation) bool {
+	return i.Key == o.Key && i.Traits.equal(o.Traits) && i.Trials == o.Trials && i.TrialFront == o.TrialFront
+}
+
+// Evidence is what is known about one part of prompts.
+type Evidence struct {
+	Key Key
+	// Common is what the requests had in common at whose start servers crashed.
+	Common Traits
+	// Crashes holds the time of each server's crash, by server name. Only crashes later
+	// than SoundAt are kept.
+	Crashes map[string]time.Time
+	// Alive holds the names of servers that answered after their supposed crash.
+	Alive map[string]bool
+	// SoundAt is when an answer to a request with the part last began that went on, and
+	// OthersSoundAt the same for requests of the same model without the part.
+	SoundAt, OthersSoundAt time.Time
+	// RefusedAt is when an Isolation last refused a request, and RefusedBy the front that
+	// did.
+	RefusedAt time.Time
+	RefusedBy identifier.VM
+
+	// knownSince is when this process heard of the part first, changedAt when it last
+	// learned something about it, and revision the Ledger's revision then.
+	knownSince, changedAt time.Time
+	revision              uint64
+}
+
+// lastCrash returns the time of the last crash, or zero.
+func (e *Evidence) lastCrash() time.Time {
+	var last time.Time
+	for _, at := range e.Crashes {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// dropCrashes forgets the crashes that are not later than SoundAt.
+func (e *Evidence) dropCrashes() {
+	for s, at := range e.Crashes {
+		if !at.After(e.SoundAt) {
+			delete(e.Crashes, s)
+		}
+	}
+	if len(e.Crashes) == 0 {
+		e.Common, e.Alive = Traits{}, nil
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -1,6 +1,7 @@
 // Package keeper implements the state machine of the replicated catalog log. Its
-// state is the current catalog, as the operator sent it, and the failure domains
-// that operators have taken out of service.
+// state is the current catalog, as the operator sent it, the failure domains that
+// operators have taken out of service, and the requests that are kept from backend
+// servers because servers crash under them.
 //
 // A catalog replaces the current one only if its version is higher, so a command
 // that is applied twice and a catalog that arrives after a newer one have no
@@ -16,18 +17,22 @@
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/isolator"
 )
 
 // Error is the class of every error of this package.
 var Error = errs.Class("catalog state")
 
-// Command is an operator's call as a log entry. Exactly one of Publish, Evacuate
-// and Reinstate is set: Evacuate takes a failure domain out of service, Reinstate
-// brings it back.
+// Command is a log entry: an operator's call, or a decision about the requests that are
+// kept from backend servers. Exactly one field is set: Evacuate takes a failure domain out
+// of service, Reinstate brings it back; Isolate puts an Isolation in force in place of one
+// with the same key, Release ends the one with its key.
 type Command struct {
 	Publish   *Publish                 `cbor:"publish,omitempty"`
 	Evacuate  identifier.FailureDomain `cbor:"evacuate,omitempty"`
 	Reinstate identifier.FailureDomain `cbor:"return,omitempty"`
+	Isolate   *isolator.Isolation      `cbor:"isolate,omitempty"`
+	Release   *isolator.Key            `cbor:"release,omitempty"`
 }
 
 // Publish holds a catalog that was validated before it was proposed.
@@ -48,6 +53,8 @@
 	Data    []byte            `cbor:"data"`
 	// Evacuated lists the failure domains out of service, in ascending order.
 	Evacuated []identifier.FailureDomain `cbor:"evacuated"`
+	// Isolations lists the requests that are kept from backend servers.
+	Isolations []isolator.Isolation `cbor:"isolations,omitempty"`
 	// ChangeCount counts the changes of the state. All replicas of the log count
 	// alike, so of two states the one with the lower count is older.
 	ChangeCount uint64 `cbor:"changes"`
@@ -90,6 +97,10 @@
 		k.setEvacuated(c.Evacuate, true)
 	case c.Reinstate != "":
 		k.setEvacuated(c.Reinstate, false)
+	case c.Isolate != nil:
+		k.setIsolation(c.Isolate.Key, c.Isolate)
+	case c.Release != nil:
+		k.setIsolation(*c.Release, nil)
 	}
 	return nil
 }
@@ -118,6 +129,26 @@
 	k.recordChange()
 }
 
+// setIsolation replaces the Isolation with a key, or removes it if next is nil.
+func (k *Keeper) setIsolation(key isolator.Key, next *isolator.Isolation) {
+	i := slices.IndexFunc(k.state.Isolations, func(i isolator.Isolation) bool { return i.Key == key })
+	if i < 0 && next == nil || i >= 0 && next != nil && k.state.Isolations[i].Equal(next) {
+		return
+	}
+	// Callers of State may still read the old slice, so it is not modified.
+	isolations := slices.Clone(k.state.Isolations)
+	switch {
+	case next == nil:
+		isolations = slices.Delete(isolations, i, i+1)
+	case i < 0:
+		isolations = append(isolations, *next)
+	default:
+		isolations[i] = *next
+	}
+	k.state.Isolations = isolations
+	k.recordChange()
+}
+
 // recordChange counts a change and notifies those that wait for one. The caller
 // must hold mu.
 func (k *Keeper) recordChange() {
