forwarder, pooler, streamer: cut off bytes without end that are no answer

A status line, a header, informational answers, an answer to another request or an event without end was read until the request timed out. Cause: http.ReadResponse has no limit of its own, and the splitter of events grew without one and searched its whole buffer again for each read. Now each is cut off after 64 KB (an event after 256 KB, another answer after 1 MB), at once. The body of a rejection is read for 20 ms at most. A whole answer without a length is given one, so that callers of HTTP/1.0 see whether it is complete.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -73,6 +73,13 @@
 const (
 	// maxStrayResponses is the number of responses to other requests that are skipped.
 	maxStrayResponses = 3
+	// maxResponseHeaderBytes limits the header of a response, with the informational
+	// responses before it.
+	maxResponseHeaderBytes = 64 << 10
+	// maxSkippedBytes and maxSkipTime limit how much of an unused response is read so
+	// that its connection can be reused.
+	maxSkippedBytes = 64 << 10
+	maxSkipTime     = 20 * time.Millisecond
 	// writeTimeout bounds writing a request to a server.
 	writeTimeout = 2 * time.Second
 )
@@ -159,6 +166,7 @@
 // informational responses and responses to other requests.
 func (x *exchange) readResponseHeader() (*exchange, sendResult) {
 	q := x.q
+	x.conn.LimitReads(maxResponseHeaderBytes)
 	for stray := 0; ; {
 		resp, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: q.r.Method})
 		if err != nil {
@@ -176,10 +184,13 @@
 		if stray++; stray > maxStrayResponses || x.respInfo.RequestID == "" {
 			return x.fail(errors.New("the answer has no request ID or another one"))
 		}
+		x.conn.LimitReads(maxBufferedResponse)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return x.fail(err)
 		}
+		x.conn.LimitReads(maxResponseHeaderBytes)
 	}
+	x.conn.UnlimitReads()
 	return x.classifyResponse()
 }
 
@@ -194,8 +205,7 @@
 		q.rejections++
 		q.lastError = "server rejected with " + strconv.Itoa(status)
 		x.updateChooser(func(c *chooser.Chooser, now time.Time) { c.RecordFailure(now, x.server) })
-		_, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxBufferedResponse))
-		x.finish(err == nil, false)
+		x.finish(x.skipBody(), false)
 		return nil, resultRejected
 	case x.resp.Header.Get("Content-Encoding") != "":
 		return x.fail(errors.New("the answer has an unrequested content encoding"))
@@ -210,6 +220,16 @@
 	return x, resultResponse
 }
 
+// skipBody reads the rest of a response that is not used, and reports whether it has
+// ended.
+func (x *exchange) skipBody() bool {
+	_ = x.conn.SetReadDeadline(time.Now().Add(maxSkipTime))
+	x.conn.LimitReads(maxSkippedBytes)
+	_, err := io.Copy(io.Discard, x.resp.Body)
+	x.conn.UnlimitReads()
+	return err == nil
+}
+
 func (x *exchange) updateChooser(update func(c *chooser.Chooser, now time.Time)) {
 	x.q.f.mu.Lock()
 	defer x.q.f.mu.Unlock()
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -378,6 +378,10 @@
 		x.finish(false, false)
 		return resultMayHaveRun
 	}
+	if x.resp.ContentLength < 0 && len(data) < maxBufferedResponse && q.r.Method != http.MethodHead {
+		// With a length, callers of every version of HTTP see whether the body is whole.
+		x.resp.ContentLength = int64(len(data))
+	}
 	q.writeResponseHeader(x)
 	_, writeErr := q.w.Write(data)
 	if writeErr == nil && len(data) == maxBufferedResponse {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -26,6 +26,8 @@
 
 const streamBufferSize = 4 << 10
 
+var errEventTooLong = errors.New("the server sent an event that is longer than allowed")
+
 // serveStream forwards a request whose response is an event stream.
 func (q *request) serveStream() {
 	s := &stream{q: q, flusher: http.NewResponseController(q.w)}
@@ -117,6 +119,9 @@
 			if writeErr := s.writeEvents(x, &events); writeErr != nil {
 				return writeErr
 			}
+			if events.TooLong() {
+				return errEventTooLong
+			}
 		}
 		if errors.Is(err, io.EOF) && events.Buffered() > 0 {
 			return io.ErrUnexpectedEOF
@@ -129,7 +134,7 @@
 
 // writeEvents writes the complete events that have arrived to the caller.
 func (s *stream) writeEvents(x *exchange, events *streamer.Splitter) error {
-	written := 0
+	wrote := 0
 	for e, ok := events.Next(); ok; e, ok = events.Next() {
 		if e.HasID && s.hasLastEventID && e.ID <= s.lastEventID {
 			// The previous server already sent this event.
@@ -141,15 +146,15 @@
 		if _, err := s.q.w.Write(e.Data); err != nil {
 			return &callerWriteError{err}
 		}
-		written++
+		wrote++
 		if e.HasID {
 			s.lastEventID, s.hasLastEventID = e.ID, true
 		}
 	}
-	if written == 0 {
+	if wrote == 0 {
 		return nil
 	}
-	x.recordEvents(written)
+	x.recordEvents(wrote)
 	s.q.recordForwarded(time.Now())
 	if err := s.flusher.Flush(); err != nil {
 		return &callerWriteError{err}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -57,6 +58,11 @@
 	Reader *bufio.Reader
 	// Reused is set if the connection has carried a request before.
 	Reused bool
+	// LastRequest is for the user of the connection, to recognize responses to the
+	// request that it carried before.
+	LastRequest string
+
+	source *limitedSource
 
 	pool      *Pool
 	address   string
@@ -81,9 +87,36 @@
 		p.releaseSlot(address)
 		return nil, Error.Wrap(err)
 	}
-	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, readBufferSize), pool: p, address: address}, nil
+	source := &limitedSource{conn: nc, remaining: math.MaxInt64}
+	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(source, readBufferSize), source: source, pool: p, address: address}, nil
 }
 
+// ErrReadLimit means that more bytes have arrived than LimitReads allows.
+var ErrReadLimit = errs.New("the server sent more bytes than allowed")
+
+// limitedSource reads a limited number of bytes from a connection.
+type limitedSource struct {
+	conn      net.Conn
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (s *limitedSource) Read(p []byte) (int, error) {
+	if s.remaining <= 0 {
+		return 0, ErrReadLimit
+	}
+	n, err := s.conn.Read(p[:min(int64(len(p)), s.remaining)])
+	s.remaining -= int64(n)
+	return n, err
+}
+
+// LimitReads makes Reader fail with ErrReadLimit once n more bytes have been read from the
+// connection. Bytes that Reader has buffered do not count.
+func (c *Conn) LimitReads(n int64) { c.source.remaining = n }
+
+// UnlimitReads removes the limit.
+func (c *Conn) UnlimitReads() { c.source.remaining = math.MaxInt64 }
+
 // takeIdle returns the most recently used idle connection that is still healthy, or
 // nil. It discards the others that it finds.
 func (p *Pool) takeIdle(address string) *Conn {
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -17,6 +17,9 @@
 	// ID is the event's ID. HasID is false if the event has no numeric ID.
 	ID    int64
 	HasID bool
+	// IsComment is set if the event holds nothing but comments, which servers send to keep
+	// a connection open.
+	IsComment bool
 }
 
 // Splitter buffers bytes and splits them into complete events. Its zero value is empty
@@ -24,8 +27,18 @@
 type Splitter struct {
 	buf    []byte
 	offset int
+	// searched is how much of the incomplete event at offset has been searched for its
+	// end.
+	searched int
 }
 
+// MaxEventBytes is the size of the longest event that is accepted.
+const MaxEventBytes = 256 << 10
+
+// maxEndBytes is the length of the longest blank line that ends an event, with the end of
+// the line before it.
+const maxEndBytes = len("\r\n\r\n")
+
 // Append adds received bytes to the buffer.
 func (s *Splitter) Append(p []byte) {
 	if s.offset > 0 {
@@ -38,16 +51,23 @@
 // Next returns the next complete event, or false if the buffer holds none.
 func (s *Splitter) Next() (Event, bool) {
 	rest := s.buf[s.offset:]
-	length := eventLength(rest)
+	length := eventLength(rest[s.searched:])
 	if length < 0 {
+		s.searched = max(len(rest)-maxEndBytes+1, 0)
 		return Event{}, false
 	}
-	e := Event{Data: rest[:length]}
+	length += s.searched
+	e := Event{Data: rest[:length], IsComment: isComment(rest[:length])}
 	e.ID, e.HasID = eventID(e.Data)
 	s.offset += length
+	s.searched = 0
 	return e, true
 }
 
+// TooLong reports whether the incomplete event that is buffered is longer than
+// MaxEventBytes.
+func (s *Splitter) TooLong() bool { return s.Buffered() > MaxEventBytes }
+
 // Buffered returns the number of bytes that Next has not returned. Once Next has
 // returned false, they belong to an incomplete event.
 func (s *Splitter) Buffered() int { return len(s.buf) - s.offset }
@@ -66,6 +86,16 @@
 	return -1
 }
 
+// isComment reports whether all lines of an event are comments or blank.
+func isComment(p []byte) bool {
+	for line := range bytes.Lines(p) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the number in the event's first id line, or false if that line is
 // missing or not a number.
 func eventID(p []byte) (int64, bool) {
