forwarder: give a caller no bytes of an answer to another request

What callers saw: nothing yet; looked for after a report of operators of similar systems: a second copy of an answer arrives late on a connection that is in use again. Cause: an answer is told apart by its request's id. Two requests with the same id, or without one, on the same connection were not; and a connection whose answer had been dropped for a retry was released with the body of that answer still to come. Evidence: TestSecondCopyOfAnAnswerReachesNobody (the same id, no id) and TestBodyOfDroppedAnswerIsNotTheNextAnswer failed before: the second caller got the body of the first one's answer. Change: requests without an id use fresh connections, no connection carries the same id twice in a row, and one with unread bytes is closed.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -96,7 +96,7 @@
 		f.mu.Unlock()
 	}
 	dialCtx, cancel := context.WithTimeout(q.ctx, dialTimeout)
-	conn, err := f.Pool.Get(dialCtx, s.Address, limit, !q.route.Retryable())
+	conn, err := q.connect(dialCtx, s.Address, limit)
 	cancel()
 	if err != nil {
 		q.recordConnectFailure(s.ID, err)
@@ -120,6 +120,22 @@
 	return x.readResponseHeader()
 }
 
+// connect returns a connection for the request. A reused one must not have carried a
+// request with the same ID before: a second copy of the response to that one could not be
+// told from the response to this one.
+func (q *request) connect(ctx context.Context, address string, limit int) (*pooler.Conn, error) {
+	fresh := !q.route.Retryable() || q.info.ID == ""
+	conn, err := q.f.Pool.Get(ctx, address, limit, fresh)
+	if err == nil && conn.Reused && conn.LastRequest == q.info.ID {
+		conn.Discard()
+		conn, err = q.f.Pool.Get(ctx, address, limit, true)
+	}
+	if err == nil {
+		conn.LastRequest = q.info.ID
+	}
+	return conn, err
+}
+
 func (q *request) recordConnectFailure(id identifier.Server, err error) {
 	q.lastError = err.Error()
 	q.connectFailures++
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -368,7 +368,8 @@
 // caller's connection is aborted.
 func (q *request) forwardUnary(x *exchange) sendResult {
 	if q.shouldRetryFailure(x) {
-		x.finish(true, false)
+		// The body of the response is still to come.
+		x.finish(false, false)
 		q.lastError = "server responded with " + x.resp.Status
 		return resultMayHaveRun
 	}
