forwarder, streamer: do not take comments for progress of a stream

Cause: every complete event reset the time since the last event. Evidence: TestCommentsAreNoProgress failed before after 3 s, the whole timeout; now the stream goes on at another server within 2 s. Bytes inside an event did not count before either. TestSlowStreamIsNotCut passed before and after.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -134,7 +134,7 @@
 
 // writeEvents writes the complete events that have arrived to the caller.
 func (s *stream) writeEvents(x *exchange, events *streamer.Splitter) error {
-	wrote := 0
+	wrote, progress := false, 0
 	for e, ok := events.Next(); ok; e, ok = events.Next() {
 		if e.HasID && s.hasLastEventID && e.ID <= s.lastEventID {
 			// The previous server already sent this event.
@@ -146,16 +146,21 @@
 		if _, err := s.q.w.Write(e.Data); err != nil {
 			return &callerWriteError{err}
 		}
-		wrote++
+		wrote = true
+		if !e.IsComment {
+			progress++
+		}
 		if e.HasID {
 			s.lastEventID, s.hasLastEventID = e.ID, true
 		}
 	}
-	if wrote == 0 {
+	if !wrote {
 		return nil
 	}
-	x.recordEvents(wrote)
-	s.q.recordForwarded(time.Now())
+	if progress > 0 {
+		x.recordEvents(progress)
+		s.q.recordForwarded(time.Now())
+	}
 	if err := s.flusher.Flush(); err != nil {
 		return &callerWriteError{err}
 	}
