fronter: answer requests that arrive late in a planned stop

What callers saw: connections opened more than 3.5 s after the start of a planned stop were accepted by the system and closed without an answer; looked for after a report of operators of similar systems. Cause: the listener was closed at a fixed time, whatever was still arriving; the connections that wait to be accepted are reset then. A load balancer that has too few other fronts goes on sending. Evidence: TestPlannedStopAnswersAcceptedRequests failed before: no answer 3.51 s after the stop began. Change: the listener stays open until no request has come or run for 250 ms.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -108,6 +108,9 @@
 	// retryBudgetShare is the fraction of the configured retry budgets that is used.
 	// The rest is a reserve, because counts such as the number of fronts lag behind.
 	retryBudgetShare = 0.8
+	// stoppingRetryAfter is the Retry-After of a request that is refused because this
+	// process ends. Another front can take it at once.
+	stoppingRetryAfter = time.Millisecond
 	// defaultTimeout applies when neither the route nor the caller states a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -141,6 +144,11 @@
 	confirmedAt atomic.Int64
 	// keepAlivesDisabled is set when the process shuts down.
 	keepAlivesDisabled atomic.Bool
+	// refusing is set when the process is about to end. inFlight counts the requests that
+	// are being served, and lastRequestAt is the Elapsed time at which the last one came.
+	refusing      atomic.Bool
+	inFlight      atomic.Int64
+	lastRequestAt atomic.Int64
 
 	mu              sync.Mutex
 	chooser         *chooser.Chooser
@@ -235,6 +243,17 @@
 // DisableKeepAlives makes every later response close its connection.
 func (f *Forwarder) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
+// RefuseRequests makes the Forwarder refuse every later request.
+func (f *Forwarder) RefuseRequests() { f.refusing.Store(true) }
+
+// QuietFor returns how long no request has come or been served.
+func (f *Forwarder) QuietFor() time.Duration {
+	if f.inFlight.Load() > 0 {
+		return 0
+	}
+	return f.Elapsed() - time.Duration(f.lastRequestAt.Load())
+}
+
 // CanServe reports whether this front can serve requests: it has a catalog, and
 // its keys were confirmed recently enough.
 func (f *Forwarder) CanServe() bool { return f.catalog.Load() != nil && f.keysConfirmed() }
@@ -250,6 +269,13 @@
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	f.lastRequestAt.Store(int64(f.Elapsed()))
+	if f.refusing.Load() {
+		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
+		return
+	}
 	if !q.validate() {
 		return
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -289,6 +289,8 @@
 	outcomeCallerLeft = "caller_left"
 	outcomeTimeout    = "timeout"
 	outcomeFailed     = "failed"
+	// outcomeStopping means that this process was about to end.
+	outcomeStopping = "stopping"
 	// outcomeRejected means that every server that was tried rejected the request or
 	// could not be reached.
 	outcomeRejected = "rejected"
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -51,6 +51,14 @@
 	// connections during shutdown: the load balancer checks readiness once a second
 	// and stops sending connections after two failed checks.
 	drainDelay = 3500 * time.Millisecond
+	// A front that stops keeps its listener open until no request has come or been in
+	// flight for quietTime. Requests that arrive less than lastRequestTime before the end are refused,
+	// and the listener is closed listenerMargin before it.
+	quietTime       = 250 * time.Millisecond
+	lastRequestTime = 1500 * time.Millisecond
+	listenerMargin  = 200 * time.Millisecond
+	// stopCheckInterval is how often requests in flight are looked for meanwhile.
+	stopCheckInterval = 20 * time.Millisecond
 	// shutdownMargin is how long before the end of the grace period the requests that
 	// are still in flight are aborted.
 	shutdownMargin = 500 * time.Millisecond
@@ -239,8 +247,9 @@
 // shutdown ends the service without aborting requests, as far as the grace period
 // allows. From its start the front reports that it is not ready, so that the load
 // balancer sends new connections elsewhere, and closes connections after their next
-// response. After drainDelay it closes the listener and waits for the requests in
-// flight.
+// response. After drainDelay it waits for the requests in flight, and for those that are
+// still sent to it, before it closes the listener: connections that wait to be accepted
+// are reset when it is closed.
 func (f *Front) shutdown(server *http.Server) {
 	start := time.Now()
 	grace := f.Settings.Bounds.ShutdownGrace()
@@ -248,7 +257,9 @@
 	f.stopping.Store(true)
 	f.forwarder.DisableKeepAlives()
 	time.Sleep(min(drainDelay, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin))
+	end := start.Add(grace - shutdownMargin)
+	f.awaitQuiet(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -257,6 +268,17 @@
 	_ = level.Info(f.Logger).Log("msg", "front process has stopped", "took", time.Since(start), "err", err)
 }
 
+// awaitQuiet returns once no request has been in flight for quietTime, at the latest
+// listenerMargin before end.
+func (f *Front) awaitQuiet(end time.Time) {
+	for now := time.Now(); now.Before(end.Add(-listenerMargin)) && f.forwarder.QuietFor() < quietTime; now = time.Now() {
+		if now.After(end.Add(-lastRequestTime)) {
+			f.forwarder.RefuseRequests()
+		}
+		time.Sleep(stopCheckInterval)
+	}
+}
+
 // dump returns the state of the process for the JSON dump that operators read.
 func (f *Front) dump() any {
 	return struct {
