server: use a connection to a backend server for one request only

What callers saw: nothing yet; looked for after a report of operators of similar systems: a second copy of an answer arrives late on a connection that is in use again. Cause: the entry's HTTP client reused connections, and answers of backend servers name no request. Evidence: TestSecondCopyOfAnAnswerReachesNobody failed before: request 2 got the answer of request 1. Change: no connection to a backend server is reused, and a header of more than 64 KB ends the answer. What the new connections cost was not measured.

--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -25,13 +25,15 @@
 					return completeResponse()(c, r)
 				}
 				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Length: 1\r\n\r\n%d", r.Header.Get("Id"), count)
-				_, err := c.Write([]byte(answer))
+				if _, err := c.Write([]byte(answer)); err != nil {
+					return false
+				}
 				// The second copy is written once the next request has been.
 				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 					return false
 				}
 				time.Sleep(time.Millisecond)
-				_, err = c.Write([]byte(answer))
+				_, err := c.Write([]byte(answer))
 				return err == nil
 			}
 			withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": doubling}, func(tb *testbed) {
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -161,3 +161,16 @@
 	}
 	return plain + "s"
 }
+
+// maxBackendHeaderBytes limits the header of a backend server's response.
+const maxBackendHeaderBytes = 64 << 10
+
+// newBackendClient returns the client for requests to backend servers. Each request has a
+// connection of its own: responses name no request, so a second copy of one that arrives
+// late on a reused connection would be taken for the response to the next request.
+func newBackendClient(d Network, c *credentials) *http.Client {
+	t := newTransport(d, c)
+	t.DisableKeepAlives = true
+	t.MaxResponseHeaderBytes = maxBackendHeaderBytes
+	return &http.Client{Transport: t}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -170,7 +170,7 @@
 	s.relayer = &relayer.Relayer{
 		VM: cfg.VM, Locator: s.locator, Limits: limits, ClaimsLog: claimRunner{s}, CheckReady: s.checkReady,
 		Policy: &router.PrefixAffinity{MaxRelativeLoad: maxRelativeLoad},
-		Owner:  &relayer.Owner{Locator: s.locator, HasLostMember: s.registrar.AnyLost, RunningRequests: s.registrar.RunningRequests, Client: client, Limits: limits},
+		Owner:  &relayer.Owner{Locator: s.locator, HasLostMember: s.registrar.AnyLost, RunningRequests: s.registrar.RunningRequests, Client: newBackendClient(dialer, s.tls), Limits: limits},
 		PeerClient: &relayer.PeerClient{
 			PeerKey: cfg.Keys.Peer, Addresses: addresses, Scheme: s.tls.scheme("http"), Client: client, Limits: limits,
 		},
