relayer, server: keep prompts with a message that crashes servers from them

Change: the parts of a prompt are its messages but the last. Entries record crashes and sound answers in an isolator.Ledger, exchange the evidence and decide by themselves; a refusal has the code isolated. Other than with core processes, an isolation is not in a log, so it is learned anew after a restart of all entries. emulator: Faults.CrashOnPrompt plays it.

--- a/internal/emulator/handlers.go
+++ b/internal/emulator/handlers.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -65,6 +66,14 @@
 		<-r.Context().Done()
 		return
 	}
+	if f.CrashOnPrompt != "" && bytes.Contains(body, []byte(f.CrashOnPrompt)) {
+		first, _ := s.tokenTimes()
+		sleep(r.Context(), first)
+		if s.Crash != nil {
+			s.Crash()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if req.Stream {
 		s.streamAnswer(w, r, req, mark, f)
 		return
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -59,6 +59,9 @@
 	// LoseResponses runs a request that is not streamed, but closes the connection
 	// instead of sending the response.
 	LoseResponses bool `json:"lose_answers"`
+	// CrashOnPrompt makes the server crash when it begins to answer a prompt with this
+	// text in one of its messages; an empty text never does.
+	CrashOnPrompt string `json:"crash_on_prompt"`
 	// RefuseRequests refuses every request with the statement that it did not run.
 	RefuseRequests bool `json:"refuse"`
 }
@@ -77,6 +80,9 @@
 	BackendKey string
 	Client     *http.Client
 	Logger     log.Logger
+	// Crash ends the server at once, for CrashOnPrompt. If it is nil, only the connection
+	// of the request is closed.
+	Crash func()
 
 	mu              sync.Mutex
 	faults          Faults
--- a/internal/isolator/decider.go
+++ b/internal/isolator/decider.go
@@ -42,6 +42,19 @@
 	Reason string
 }
 
+// Apply returns the Isolations in force after a change.
+func (c Change) Apply(inForce []Isolation) []Isolation {
+	key := c.Release
+	if c.Set != nil {
+		key = &c.Set.Key
+	}
+	next := slices.DeleteFunc(slices.Clone(inForce), func(i Isolation) bool { return i.Key == *key })
+	if c.Set != nil {
+		next = append(next, *c.Set)
+	}
+	return next
+}
+
 // Decider decides on Isolations. Its zero value is ready to use.
 type Decider struct {
 	// nextTrialAt holds the time of the next trial of each Isolation.
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -49,6 +49,7 @@
 	BackendRefused     Code = "backend_refused"
 	BackendSilent      Code = "backend_silent"
 	AnswerIncomplete   Code = "answer_incomplete"
+	Isolated           Code = "isolated"
 	Cancelled          Code = "cancelled"
 )
 
@@ -89,6 +90,7 @@
 	BackendRefused:     http.StatusServiceUnavailable,
 	BackendSilent:      http.StatusGatewayTimeout,
 	AnswerIncomplete:   http.StatusBadGateway,
+	Isolated:           http.StatusServiceUnavailable,
 	Cancelled:          499,
 }
 
--- a/internal/relayer/caller.go
+++ b/internal/relayer/caller.go
@@ -84,6 +84,7 @@
 	}
 	prompt := string(body.Messages[0].Content)
 	req.PromptPrefix = router.NewPrefixHash(prompt)
+	req.PromptParts = promptParts(body.Messages)
 	req.Cost = estimateChatCost(body, len(req.Body))
 	req.Path, req.Stream = chatPath, body.Stream
 	if r.Header.Get(HeaderIdempotent) == "" && req.IdempotencyKey == "" {
--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -34,6 +34,7 @@
 	headerCost              = peerHeaderPrefix + "Cost"
 	headerMethod            = peerHeaderPrefix + "Method"
 	headerPath              = peerHeaderPrefix + "Path"
+	headerPromptParts       = peerHeaderPrefix + "Parts"
 	headerPromptPrefix      = peerHeaderPrefix + "Prefix"
 	headerDeadline          = peerHeaderPrefix + "Deadline-Ms"
 	headerIsResponse        = peerHeaderPrefix + "Answered"
@@ -95,6 +96,9 @@
 	header.Set(headerMethod, r.Method)
 	header.Set(headerPath, r.Path)
 	header.Set(headerPromptPrefix, strconv.FormatUint(uint64(r.PromptPrefix), 16))
+	for _, p := range r.PromptParts {
+		header.Add(headerPromptParts, string(p))
+	}
 	if r.RetryServerErrors {
 		header.Set(headerRetryServerErrors, "true")
 	}
@@ -192,6 +196,9 @@
 		Path:              r.Header.Get(headerPath), Header: forwardableHeader(r.Header), Body: body,
 	}
 	req.PromptPrefix = router.PrefixHash(prefix)
+	for _, p := range r.Header.Values(headerPromptParts) {
+		req.PromptParts = append(req.PromptParts, identifier.PromptPart(p))
+	}
 	if remaining, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64); err == nil {
 		req.Deadline = time.Now().Add(time.Duration(remaining) * time.Millisecond)
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -34,6 +34,7 @@
 	inFlightAtReport map[identifier.Group]int64
 	ejector          router.Ejector
 	retryBudget      limiter.RetryBudget
+	isolation        isolationState
 	stats            Stats
 }
 
@@ -138,7 +139,10 @@
 		return false
 	}
 	switch refusal.Code {
-	case refuser.Overloaded, refuser.DeadlineTooNear, refuser.NoSuchService, refuser.BadRequest:
+	case refuser.Overloaded, refuser.DeadlineTooNear, refuser.NoSuchService, refuser.BadRequest, refuser.Isolated:
+		return false
+	}
+	if refusal.Statement == refuser.MayHaveRun && !t.mayRepeat(r) {
 		return false
 	}
 	if !countsAsFailure(refusal.Code) {
@@ -207,6 +211,9 @@
 
 // sendLocal sends a request to a group of this entry's failure domain.
 func (t *Relayer) sendLocal(ctx context.Context, r *Request, tried *triedTargets) (*Response, *refuser.Refusal) {
+	if refusal := t.checkIsolation(time.Now(), r); refusal != nil {
+		return nil, refusal
+	}
 	cs := t.candidates(r.Service, tried)
 	t.mu.Lock()
 	cs = t.ejector.Filter(time.Now(), cs)
@@ -228,9 +235,13 @@
 		resp, refusal = t.PeerClient.SendRequest(ctx, c.Owner, c.Group, r)
 	}
 	if refusal != nil {
+		if refusal.Code == refuser.BackendFailed && refusal.Statement == refuser.MayHaveRun {
+			t.recordCrash(r, c.Group)
+		}
 		t.recordEnd(c.Group, countsAsFailure(refusal.Code))
 		return nil, refusal
 	}
+	resp.Body = &startWatcher{readCloser: resp.Body, relayer: t, request: r, group: c.Group}
 	failed := resp.Status >= http.StatusInternalServerError
 	resp.Body = &closeNotifyingBody{readCloser: resp.Body, onClose: func() { t.recordEnd(c.Group, failed) }}
 	return resp, nil
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -27,6 +27,8 @@
 	// Cost is the estimated amount of work, in tokens.
 	Cost         sharer.Cost
 	PromptPrefix router.PrefixHash
+	// PromptParts names the parts of the prompt that other requests may share.
+	PromptParts []identifier.PromptPart
 	// Method, Path and Header are those of the request to the backend server.
 	Method string
 	Path   string
@@ -45,6 +47,11 @@
 	// Deadline is the time after which the caller no longer needs the response, or
 	// zero if there is no such time.
 	Deadline time.Time
+
+	// isTrial is set if servers crash under such requests and this one is sent all the
+	// same. crashedServer is the group that broke off an answer to it at its start.
+	isTrial       bool
+	crashedServer string
 }
 
 // Response is the response of a backend server. Whoever reads Body must close it. A
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -34,6 +34,9 @@
 	case e.GetDigest() != nil:
 		s.locator.SetDigest(time.Now(), e.GetDigest(), true)
 		return nil, nil
+	case e.GetEvidenceReport() != nil:
+		s.mergeEvidence(e.GetEvidenceReport())
+		return nil, nil
 	case e.GetViewAsk():
 		return &peerv1.Envelope{PlacementView: s.currentView()}, nil
 	case e.GetIdentity() != nil:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -80,6 +80,7 @@
 	authority     authority
 	claimsClock   claimsClock
 	report        reportState
+	evidence      evidenceState
 	shuttingDown  atomic.Bool
 	callerServer  *http.Server
 	controlServer *http.Server
@@ -220,6 +221,7 @@
 		s.relayer.Owner.RefreshGroups(time.Now())
 		s.stepPlacement(ctx)
 	})
+	s.runEvery(ctx, refreshInterval, s.stepIsolation)
 	s.runEvery(ctx, t.HeartbeatInterval, func() { s.sendReport(ctx) })
 	s.runEvery(ctx, t.PlacementLeaseDuration/4, func() { s.renewLease(ctx) })
 	s.runEvery(ctx, t.ConfigPullInterval, func() { s.pullConfig(ctx) })
