coordinator: send no order after the placement authority has run out

What callers saw: nothing yet; looked for after a report of operators of similar systems: a process that was paused acts on a permission that has run out meanwhile. Cause: the authority was checked when the orders were decided on, and each order was then sent by a goroutine of its own, however much later. Evidence: TestNoOrderAfterAuthorityHasRunOut failed before. Change: the authority of the same term is checked again right before an order is sent. What remains is covered by the fencing token, which is the term.

--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -171,12 +171,19 @@
 }
 
 // sendOrder sends one order and passes the reply to the Grouper, unless this
-// process has held the authority of a later term since.
+// process has held the authority of a later term since. If the authority has run out
+// since the order was decided on, because the process was paused for example, the order is
+// not sent.
 func (c *Coordinator) sendOrder(ctx context.Context, term replicator.Term, o grouper.Order) {
 	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	reply := c.OrderSender.SendOrder(orderCtx, o)
+	var reply grouper.Reply
+	if current, ok := c.authorityTerm(); ok && current == term {
+		reply = c.OrderSender.SendOrder(orderCtx, o)
+	} else {
+		_ = level.Info(c.Logger).Log("msg", "order is not sent, because the placement authority has run out", "server", o.Server, "term", term)
+	}
 	c.orderCounters[reply.Outcome].Inc(1)
 	c.orderDuration.Update(time.Since(sentAt).Milliseconds())
 	_ = level.Info(c.Logger).Log("msg", "order", "action", o.Action, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
