forwarder: check a key again after a pause

Cause: a request's key was checked before its body was read. After a long body, or a suspension of the process, it was forwarded although the key's validity was older than the bound of revoked keys, or the key had been taken away. Change: after the body, a check older than the margin is made again with the catalog in force.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -316,7 +316,7 @@
 		return false
 	}
 	q.setDeadline()
-	return q.readBody()
+	return q.readBody() && q.keyStillValid()
 }
 
 // outageRetryAfter returns the Retry-After of a request that is refused during an
@@ -340,10 +340,21 @@
 		q.respondError(http.StatusUnauthorized, "unknown_key", 0)
 		return false
 	}
-	q.team = team
+	q.team, q.keyCheckedAt = team, q.f.Elapsed()
 	return true
 }
 
+// keyStillValid checks the request's key again if that was long ago, because the body took
+// long to arrive or the process was suspended. If it returns false, it has already written
+// an error response.
+func (q *request) keyStillValid() bool {
+	if q.team == nil || q.f.Elapsed()-q.keyCheckedAt <= keyValidityMargin {
+		return true
+	}
+	q.catalog = q.f.catalog.Load()
+	return q.authenticate()
+}
+
 func (q *request) setDeadline() {
 	timeout := q.route.Timeout
 	if q.info.Timeout > 0 {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -31,7 +31,9 @@
 	service identifier.Service
 	engine  *cataloger.Engine
 	team    *cataloger.Team
-	body    []byte
+	// keyCheckedAt is the Elapsed time at which the team's key was checked.
+	keyCheckedAt time.Duration
+	body         []byte
 
 	receivedAt time.Time
 	deadline   time.Time
