fronter, forwarder: take only requests that end in time during a planned stop

Cause: a front took every request until it closed its listener, whatever time was left. Change: from 2.5 s after the start of the stop, when the load balancer has noticed, a request is refused with 503 if its time limit is past the end of the process.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -144,9 +144,9 @@
 	confirmedAt atomic.Int64
 	// keepAlivesDisabled is set when the process shuts down.
 	keepAlivesDisabled atomic.Bool
-	// refusing is set when the process is about to end. inFlight counts the requests that
+	// end is when the process will end, if that is known. inFlight counts the requests that
 	// are being served, and lastRequestAt is the Elapsed time at which the last one came.
-	refusing      atomic.Bool
+	end           atomic.Pointer[time.Time]
 	inFlight      atomic.Int64
 	lastRequestAt atomic.Int64
 
@@ -243,8 +243,9 @@
 // DisableKeepAlives makes every later response close its connection.
 func (f *Forwarder) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
-// RefuseRequests makes the Forwarder refuse every later request.
-func (f *Forwarder) RefuseRequests() { f.refusing.Store(true) }
+// SetEnd makes the Forwarder refuse requests that may last longer than until t, when the
+// process ends.
+func (f *Forwarder) SetEnd(t time.Time) { f.end.Store(&t) }
 
 // QuietFor returns how long no request has come or been served.
 func (f *Forwarder) QuietFor() time.Duration {
@@ -272,11 +273,11 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	f.lastRequestAt.Store(int64(f.Elapsed()))
-	if f.refusing.Load() {
-		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
+	if !q.validate() {
 		return
 	}
-	if !q.validate() {
+	if end := f.end.Load(); end != nil && q.deadline.After(*end) {
+		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -51,12 +51,13 @@
 	// connections during shutdown: the load balancer checks readiness once a second
 	// and stops sending connections after two failed checks.
 	drainDelay = 3500 * time.Millisecond
-	// A front that stops keeps its listener open until no request has come or been in
-	// flight for quietTime. Requests that arrive less than lastRequestTime before the end are refused,
-	// and the listener is closed listenerMargin before it.
-	quietTime       = 250 * time.Millisecond
-	lastRequestTime = 1500 * time.Millisecond
-	listenerMargin  = 200 * time.Millisecond
+	// noticeDelay is how long after the start of a shutdown the load balancer may still
+	// send most connections to this front.
+	noticeDelay = 2500 * time.Millisecond
+	// After drainDelay a front that stops keeps its listener open until no request has
+	// come or been in flight for quietTime, but at most until listenerMargin before the end.
+	quietTime      = 250 * time.Millisecond
+	listenerMargin = 200 * time.Millisecond
 	// stopCheckInterval is how often requests in flight are looked for meanwhile.
 	stopCheckInterval = 20 * time.Millisecond
 	// shutdownMargin is how long before the end of the grace period the requests that
@@ -247,17 +248,19 @@
 // shutdown ends the service without aborting requests, as far as the grace period
 // allows. From its start the front reports that it is not ready, so that the load
 // balancer sends new connections elsewhere, and closes connections after their next
-// response. After drainDelay it waits for the requests in flight, and for those that are
-// still sent to it, before it closes the listener: connections that wait to be accepted
-// are reset when it is closed.
+// response. After noticeDelay it takes only requests that end in the time that is left.
+// After drainDelay it closes the listener once no more requests come: connections that
+// wait to be accepted are reset when it is closed.
 func (f *Front) shutdown(server *http.Server) {
 	start := time.Now()
 	grace := f.Settings.Bounds.ShutdownGrace()
 	_ = level.Info(f.Logger).Log("msg", "front process stops", "grace", grace)
 	f.stopping.Store(true)
 	f.forwarder.DisableKeepAlives()
-	time.Sleep(min(drainDelay, grace/2))
 	end := start.Add(grace - shutdownMargin)
+	time.Sleep(min(noticeDelay, grace/2))
+	f.forwarder.SetEnd(end)
+	time.Sleep(min(drainDelay, grace/2) - min(noticeDelay, grace/2))
 	f.awaitQuiet(end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -271,10 +274,7 @@
 // awaitQuiet returns once no request has been in flight for quietTime, at the latest
 // listenerMargin before end.
 func (f *Front) awaitQuiet(end time.Time) {
-	for now := time.Now(); now.Before(end.Add(-listenerMargin)) && f.forwarder.QuietFor() < quietTime; now = time.Now() {
-		if now.After(end.Add(-lastRequestTime)) {
-			f.forwarder.RefuseRequests()
-		}
+	for time.Now().Before(end.Add(-listenerMargin)) && f.forwarder.QuietFor() < quietTime {
 		time.Sleep(stopCheckInterval)
 	}
 }
--- a/internal/fronter/stop_test.go
+++ b/internal/fronter/stop_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -59,7 +57,7 @@
 				break
 			}
 			time.Sleep(30 * time.Millisecond)
-			err = sendStopRequest(c)
+			err = sendRequest(c)
 			_ = c.Close()
 			if err != nil && time.Since(stoppedAt) < set.Bounds.ShutdownGrace()-time.Second {
 				t.Errorf("%s after the stop began: %v", time.Since(stoppedAt), err)
@@ -81,10 +79,3 @@
 		synctest.Wait()
 	})
 }
-
-func sendStopRequest(c net.Conn) error {
-	if err := sendRequest(c); err != nil {
-		return fmt.Errorf("no answer: %w", err)
-	}
-	return nil
-}
