relayer: end stalled streams that send a byte now and then

What callers saw: nothing yet; looked for after a report of operators of similar systems. On the product's own interface a stalled stream whose server sent a byte of a comment now and then did not end, unless the caller had set a time limit. Cause: every byte restarted the time allowed between two tokens. Change: in an event stream only a complete event that is no comment counts, and an event of more than 256 KB ends the answer. emulator: Faults.DripAfterTokens plays it.

--- a/internal/emulator/handlers.go
+++ b/internal/emulator/handlers.go
@@ -137,6 +137,10 @@
 		if f.CutAfterTokens > 0 && i >= f.CutAfterTokens {
 			panic(http.ErrAbortHandler)
 		}
+		if f.DripAfterTokens > 0 && i >= f.DripAfterTokens {
+			drip(w, r)
+			return
+		}
 		s.writeChunk(w, req, &chatMessage{Content: tokenText(i, mark)}, nil)
 		_ = rc.Flush()
 		if between > 0 {
@@ -149,6 +153,18 @@
 	_ = rc.Flush()
 }
 
+// drip writes a byte now and then until the client closes the connection.
+func drip(w http.ResponseWriter, r *http.Request) {
+	const interval = 300 * time.Millisecond
+	for r.Context().Err() == nil {
+		if _, err := io.WriteString(w, ":"); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		sleep(r.Context(), interval)
+	}
+}
+
 func (s *Server) writeChunk(w io.Writer, req chatRequest, m *chatMessage, finishReason *string) {
 	b, err := json.Marshal(chatResponse{
 		ID: "chatcmpl-standin", Object: "chat.completion.chunk", Model: req.Model,
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -56,6 +56,9 @@
 	// CutAfterTokens aborts each stream after this many tokens, without the end mark
 	// "data: [DONE]"; 0 aborts none.
 	CutAfterTokens int `json:"cut_after"`
+	// DripAfterTokens makes each stream stall after this many tokens and send a byte of a
+	// comment now and then; 0 makes none stall.
+	DripAfterTokens int `json:"drip_after"`
 	// LoseResponses runs a request that is not streamed, but closes the connection
 	// instead of sending the response.
 	LoseResponses bool `json:"lose_answers"`
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -14,6 +15,7 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/locator"
 	"trefoilhead.org/trefoilhead/internal/refuser"
+	"trefoilhead.org/trefoilhead/internal/streamer"
 )
 
 // Owner admits requests to the groups that this entry owns, and sends them to the
@@ -202,7 +204,7 @@
 	}
 	body := &serverResponseBody{
 		body: resp.Body, controller: c, startTime: startTime, cancel: cancel, watchdog: watchdog,
-		idleTimeout: o.Limits.InterTokenTimeout, failed: resp.StatusCode >= http.StatusInternalServerError,
+		events: newEventSplitter(resp.Header), idleTimeout: o.Limits.InterTokenTimeout, failed: resp.StatusCode >= http.StatusInternalServerError,
 	}
 	return &Response{Status: resp.StatusCode, Header: forwardableHeader(resp.Header), Body: body}, nil
 }
@@ -259,9 +261,22 @@
 	return refuser.New(refuser.BackendRefused, refuser.NotRun, "the backend server refused the request before running it").WithRetryAfter(time.Second)
 }
 
+// newEventSplitter returns a Splitter if a response is an event stream, and nil otherwise.
+func newEventSplitter(h http.Header) *streamer.Splitter {
+	if t, _, err := mime.ParseMediaType(h.Get("Content-Type")); err != nil || t != "text/event-stream" {
+		return nil
+	}
+	return &streamer.Splitter{}
+}
+
+var errEventTooLong = errors.New("the server sent an event that is longer than allowed")
+
 // serverResponseBody is the body of a backend server's response. It cancels the
-// request when no data arrives for idleTimeout.
+// request when no data arrives for idleTimeout. In an event stream, only complete events
+// that are not comments count as data.
 type serverResponseBody struct {
+	// events is nil if the response is not an event stream.
+	events           *streamer.Splitter
 	body             io.ReadCloser
 	controller       *admissionController
 	startTime        time.Time
@@ -282,7 +297,12 @@
 		if b.timeToFirstToken == 0 {
 			b.timeToFirstToken = time.Since(b.startTime)
 		}
-		b.watchdog.Reset(b.idleTimeout)
+		if b.hasProgress(p[:n]) {
+			b.watchdog.Reset(b.idleTimeout)
+		}
+		if b.events != nil && b.events.TooLong() {
+			err = errEventTooLong
+		}
 	}
 	switch {
 	case err == io.EOF:
@@ -293,6 +313,19 @@
 	return n, err
 }
 
+// hasProgress reports whether bytes that were read hold data, or complete an event.
+func (b *serverResponseBody) hasProgress(p []byte) bool {
+	if b.events == nil {
+		return true
+	}
+	b.events.Append(p)
+	progress := false
+	for e, ok := b.events.Next(); ok; e, ok = b.events.Next() {
+		progress = progress || !e.IsComment
+	}
+	return progress
+}
+
 // Close releases the slot of the request. If the response has not ended, it cancels
 // the request at the backend server.
 func (b *serverResponseBody) Close() error {
