isolator: blame a part without sound answers for many crashes at once

Cause: many requests with a part at once crash all servers within a moment. That counted as one crash, and no other request was answered before the servers were back. Change: five crashes need not be apart for a part without any sound answer, if others were answered in the minute before. Parts with sound answers are judged as before.

--- a/internal/coordinator/crash_harness_test.go
+++ b/internal/coordinator/crash_harness_test.go
@@ -295,6 +295,8 @@
 	fleet  *crashFleet
 	client *http.Client
 	random *rand.Rand
+	// crashTeam is the only team that sends requests with crashing parts, if it is set.
+	crashTeam string
 
 	mu    sync.Mutex
 	calls []crashCall
@@ -366,6 +368,9 @@
 		c.send(model, team, parts...)
 		if len(crashing) > 0 && c.random.Float64() < share {
 			p := crashing[c.random.IntN(len(crashing))]
+			if c.crashTeam != "" {
+				team = c.crashTeam
+			}
 			c.send(model, team, slices.Insert(slices.Clone(parts), c.random.IntN(len(parts)+1), p)...)
 		}
 	}
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -10,7 +10,10 @@
 	"time"
 )
 
-var crashSeeds = flag.Uint64("crash.seeds", 6, "number of seeds of TestRequestsThatCrashServersAreStopped")
+var (
+	crashSeeds  = flag.Uint64("crash.seeds", 6, "number of seeds of TestRequestsThatCrashServersAreStopped")
+	crashFronts = flag.Int("crash.fronts", 5, "number of fronts in that test")
+)
 
 // crashSystem is a system that serves requests with three core processes, several
 // fronts and twelve engines.
@@ -47,11 +50,12 @@
 // TestRequestsThatCrashServersAreStopped guards against requests that crash one server
 // after the other. Each seed plays one or two crashing parts of prompts among sound
 // requests that share their callers and other parts, servers that crash for other
-// reasons, and restarts and partitions of fronts and core processes.
+// reasons, and restarts and partitions of fronts and core processes. The requests with
+// the parts are rare or common, of one team or of all, and sometimes many come at once.
 func TestRequestsThatCrashServersAreStopped(t *testing.T) {
 	for seed := range *crashSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			runInCrashSystem(t, seed, 5, func(cs *crashSystem) { cs.playCrashes(seed) })
+			runInCrashSystem(t, seed, *crashFronts, func(cs *crashSystem) { cs.playCrashes(seed) })
 		})
 	}
 }
@@ -65,13 +69,23 @@
 		cs.fleet.setCrashing(p, true)
 	}
 	faultsAt := time.Now()
+	if random.IntN(3) == 0 {
+		cs.callers.crashTeam = crashTeams[random.IntN(len(crashTeams))]
+	}
+	if random.IntN(3) == 0 {
+		// Many requests with the part come at once, at different fronts.
+		for i := range 8 {
+			cs.callers.send(crashModels[i%2], crashTeams[i%len(crashTeams)], parts[0])
+		}
+	}
+	share := []float64{0.02, 0.08, 0.3}[random.IntN(3)]
 	stop := make(chan struct{})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		cs.injectFaults(random, stop)
 	}()
-	cs.callers.sendMixed(25*time.Second, 60, 0.08, parts...)
+	cs.callers.sendMixed(25*time.Second, 60, share, parts...)
 	close(stop)
 	<-done
 	cs.callers.wg.Wait()
@@ -87,7 +101,7 @@
 			return
 		case <-time.After(time.Duration(500+random.IntN(2500)) * time.Millisecond):
 		}
-		front := fmt.Sprintf("f%d", random.IntN(5))
+		front := fmt.Sprintf("f%d", random.IntN(*crashFronts))
 		core := initialCores[random.IntN(len(initialCores))]
 		switch random.IntN(7) {
 		case 0, 1:
--- a/internal/isolator/decider.go
+++ b/internal/isolator/decider.go
@@ -13,6 +13,9 @@
 	// together, by a loss of power for example, have another cause.
 	minCrashes   = 3
 	crashSpacing = 50 * time.Millisecond
+	// minCrashesAtOnce is the number of crashes that need not be apart, for a part without
+	// sound answers: a rare part is not at so many servers that end together by chance.
+	minCrashesAtOnce = 5
 	// The same for a part with sound answers within soundMemory before. Many requests have
 	// such a part, and while many servers crash, some of them are being started at each.
 	minCrashesAfterSound   = 5
@@ -185,6 +188,9 @@
 			spaced = append(spaced, at)
 		}
 	}
+	if !e.wasSound() && len(times) >= minCrashesAtOnce && times[0].Sub(e.OthersSoundAt) < soundMemory {
+		return true
+	}
 	if len(spaced) < count {
 		return false
 	}
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -69,6 +69,7 @@
 // loss of power: servers crash within a moment, or nothing is answered any more.
 func TestServersThatEndTogetherBlameNoPart(t *testing.T) {
 	var together, outage Ledger
+	together.RecordSound(at(-100), at(-100), run("s99", "t", "common"))
 	for i := range 10 {
 		together.RecordCrash(at(3*i), run(fmt.Sprint("s", i), "t", "common"))
 		outage.RecordCrash(at(100*i), run(fmt.Sprint("s", i), "t", "common"))
@@ -98,6 +99,19 @@
 	}
 }
 
+// TestManyServersThatCrashAtOnceUnderARarePart: nothing is answered any more afterwards.
+func TestManyServersThatCrashAtOnceUnderARarePart(t *testing.T) {
+	var l Ledger
+	l.RecordSound(at(-1000), at(-1000), run("s9", "t", "common"))
+	for i := range 6 {
+		l.RecordCrash(at(3*i), run(fmt.Sprint("s", i), "t", "bad"))
+		l.RecordCrash(at(3*i), run(fmt.Sprint("s", i), "t", "common"))
+	}
+	if got := decide(at(1500), &l); len(got) != 1 || got[0].Key.Part != "bad" {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // TestPartThatBecomesFaultyIsIsolated: servers answered requests with the part before.
 func TestPartThatBecomesFaultyIsIsolated(t *testing.T) {
 	var l Ledger
--- a/internal/isolator/ledger.go
+++ b/internal/isolator/ledger.go
@@ -14,7 +14,7 @@
 const (
 	// maxEvidence bounds the parts in a Ledger, and maxCrashes the crashes of each.
 	maxEvidence = 64
-	maxCrashes  = 8
+	maxCrashes  = 12
 	// evidenceTTL is how long after the last crash under a part it is remembered.
 	evidenceTTL = 5 * time.Minute
 	// soundTTL is how long a part without crashes is remembered, so that older reports of
@@ -30,6 +30,13 @@
 	revision uint64
 	// soundHistory holds when answers to requests with a part last began that went on.
 	soundHistory history
+	// lastSound holds the same for all requests of a model.
+	lastSound map[serviceModel]time.Time
+}
+
+type serviceModel struct {
+	service identifier.Service
+	model   string
 }
 
 // history holds a time for each of the parts that were recorded last.
@@ -120,6 +127,9 @@
 func (l *Ledger) RecordCrash(now time.Time, r Run) {
 	for _, p := range r.Traits.Parts {
 		e := l.add(now, Key{r.Service, p})
+		if e.OthersSoundAt.IsZero() && e.SoundAt.IsZero() {
+			e.OthersSoundAt = l.lastSound[serviceModel{r.Service, r.Traits.Model}]
+		}
 		e.addCrash(r.Server, now, r.Traits)
 		l.touch(now, e)
 	}
@@ -181,9 +191,7 @@
 
 // RecordSound records that the answer to a request began at a time and went on.
 func (l *Ledger) RecordSound(now, beganAt time.Time, r Run) {
-	for _, p := range r.Traits.Parts {
-		l.soundHistory.record(Key{r.Service, p}, beganAt)
-	}
+	l.recordHistory(beganAt, r)
 	for k, e := range l.byKey {
 		if k.Service != r.Service {
 			continue
@@ -209,6 +217,19 @@
 	}
 }
 
+// maxModels is the number of models of which lastSound is kept.
+const maxModels = 256
+
+func (l *Ledger) recordHistory(beganAt time.Time, r Run) {
+	for _, p := range r.Traits.Parts {
+		l.soundHistory.record(Key{r.Service, p}, beganAt)
+	}
+	if l.lastSound == nil || len(l.lastSound) >= maxModels {
+		l.lastSound = map[serviceModel]time.Time{}
+	}
+	l.lastSound[serviceModel{r.Service, r.Traits.Model}] = beganAt
+}
+
 // RecordRefusal records that a front refused a request because of an Isolation.
 func (l *Ledger) RecordRefusal(now time.Time, k Key, front identifier.VM) {
 	e := l.add(now, k)
