isolator: exchange nothing about parts that are answered

What callers saw: nothing. Evidence: TestQuietLedgersExchangeNothing failed before: two parts were still exchanged 2.15 s after the crashes.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -150,6 +150,27 @@
 	return last
 }
 
+// setSound records a sound answer, and reports whether it is later than those before.
+func (e *Evidence) setSound(at time.Time) bool {
+	if !at.After(e.SoundAt) {
+		return false
+	}
+	e.SoundAt = at
+	e.dropCrashes()
+	return true
+}
+
+// setOthersSound records a sound answer to another request, and reports whether it is news
+// for other processes: the first one after a crash.
+func (e *Evidence) setOthersSound(at time.Time) bool {
+	if at.Sub(e.OthersSoundAt) <= minAdvance {
+		return false
+	}
+	isNews := len(e.Crashes) > 0 && !e.OthersSoundAt.After(e.lastCrash())
+	e.OthersSoundAt = at
+	return isNews
+}
+
 // dropCrashes forgets the crashes that are not later than SoundAt.
 func (e *Evidence) dropCrashes() {
 	for s, at := range e.Crashes {
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -250,6 +250,48 @@
 	}
 }
 
+// TestQuietLedgersExchangeNothing guards against processes that exchange the times of sound
+// answers for ever, long after servers have crashed.
+func TestQuietLedgersExchangeNothing(t *testing.T) {
+	var ledgers [2]Ledger
+	var sent [2]uint64
+	exchange := func(now time.Time) (count int) {
+		for i := range ledgers {
+			changed := ledgers[i].ChangedSince(sent[i])
+			sent[i] = ledgers[i].Revision()
+			for _, e := range changed {
+				count++
+				ledgers[1-i].Merge(now, e)
+			}
+		}
+		return count
+	}
+	for i := range 4 {
+		ledgers[i%2].RecordCrash(at(100*i), run(fmt.Sprint("s", i), "t", "common", "bad"))
+	}
+	quiet := 0
+	for ms := 400; ms < 20_000; ms += 50 {
+		r := run("s9", "t", "common")
+		ledgers[ms/50%2].RecordSound(at(ms), at(ms), r)
+		if n := exchange(at(ms)); n == 0 {
+			quiet++
+		} else if ms > 2000 {
+			t.Fatalf("after %d ms %d parts are exchanged", ms, n)
+		}
+		for i := range ledgers {
+			ledgers[i].Expire(at(ms), nil)
+		}
+	}
+	for i := range ledgers {
+		if ledgers[i].Get(Key{"svc", "common"}) != nil {
+			t.Errorf("process %d keeps evidence about a part with sound answers", i)
+		}
+		if e := ledgers[i].Get(Key{"svc", "bad"}); e == nil || len(e.Crashes) != 4 {
+			t.Errorf("process %d has forgotten the crashes", i)
+		}
+	}
+}
+
 // TestLedgersConverge checks that processes that exchange their evidence in any order, and
 // more than once, make the same decisions. Times within minAdvance count as equal.
 func TestLedgersConverge(t *testing.T) {
--- a/internal/isolator/ledger.go
+++ b/internal/isolator/ledger.go
@@ -20,6 +20,8 @@
 	// soundTTL is how long a part without crashes is remembered, so that older reports of
 	// crashes do not count again.
 	soundTTL = 5 * time.Second
+	// refusalInterval is how often the time of a refusal is renewed.
+	refusalInterval = 2 * time.Second
 	// minAdvance is how much later a time must be to count as news.
 	minAdvance = 200 * time.Millisecond
 )
@@ -130,6 +132,7 @@
 		if e.OthersSoundAt.IsZero() && e.SoundAt.IsZero() {
 			e.OthersSoundAt = l.lastSound[serviceModel{r.Service, r.Traits.Model}]
 		}
+		e.setSound(l.soundHistory.get(e.Key))
 		e.addCrash(r.Server, now, r.Traits)
 		l.touch(now, e)
 	}
@@ -202,16 +205,15 @@
 			l.touch(now, e)
 		}
 		if _, has := slices.BinarySearch(r.Traits.Parts, k.Part); has {
-			if beganAt.After(e.SoundAt) && (len(e.Crashes) > 0 || beganAt.Sub(e.SoundAt) > minAdvance) {
-				e.SoundAt = beganAt
-				e.dropCrashes()
+			// Without crashes a sound answer is no news. The history has it.
+			if beganAt.After(e.SoundAt) && len(e.Crashes) > 0 {
+				e.setSound(beganAt)
 				l.touch(now, e)
 			}
 			continue
 		}
 		sameModel := e.Common.Model == "" || e.Common.Model == r.Traits.Model
-		if sameModel && beganAt.Sub(e.OthersSoundAt) > minAdvance {
-			e.OthersSoundAt = beganAt
+		if sameModel && e.setOthersSound(beganAt) {
 			l.touch(now, e)
 		}
 	}
@@ -233,7 +235,7 @@
 // RecordRefusal records that a front refused a request because of an Isolation.
 func (l *Ledger) RecordRefusal(now time.Time, k Key, front identifier.VM) {
 	e := l.add(now, k)
-	if now.Sub(e.RefusedAt) > time.Second {
+	if now.Sub(e.RefusedAt) > refusalInterval {
 		e.RefusedAt, e.RefusedBy = now, front
 		l.touch(now, e)
 	}
@@ -248,12 +250,13 @@
 		}
 		e = l.add(now, in.Key)
 	}
-	// The others are told if requests with the part were answered here.
-	changed := e.SoundAt.Sub(in.SoundAt) > minAdvance
-	if in.SoundAt.Sub(e.SoundAt) > minAdvance {
-		e.SoundAt = in.SoundAt
-		e.dropCrashes()
-		changed = true
+	changed := false
+	crashed := len(in.Crashes) > 0 || len(e.Crashes) > 0
+	if crashed {
+		// The others are told if requests with the part were answered here.
+		e.setSound(l.soundHistory.get(in.Key))
+		changed = e.SoundAt.Sub(in.SoundAt) > minAdvance
+		changed = in.SoundAt.Sub(e.SoundAt) > minAdvance && e.setSound(in.SoundAt) || changed
 	}
 	for s := range in.Alive {
 		_, crashed := e.Crashes[s]
@@ -265,11 +268,8 @@
 	for _, s := range slices.Sorted(maps.Keys(in.Crashes)) {
 		changed = e.addCrash(s, in.Crashes[s], in.Common) || changed
 	}
-	if in.OthersSoundAt.Sub(e.OthersSoundAt) > minAdvance {
-		e.OthersSoundAt = in.OthersSoundAt
-		changed = true
-	}
-	if in.RefusedAt.Sub(e.RefusedAt) > minAdvance {
+	changed = e.setOthersSound(in.OthersSoundAt) || changed
+	if in.RefusedAt.Sub(e.RefusedAt) > refusalInterval {
 		e.RefusedAt, e.RefusedBy = in.RefusedAt, in.RefusedBy
 		changed = true
 	}
