forwarder: do not take a dropped idle connection for a crash

What callers saw: nothing yet; found by reading. Servers drop idle connections without notice; the next request on one ends at once and counted as a crash under its parts. Evidence: TestDroppedIdleConnectionIsNoCrash failed before. Change: a request on a reused connection that ends within 25 ms without a byte of an answer is no evidence.

--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -13,6 +13,9 @@
 	// soundEvents is the number of events after which the server of an answer is taken
 	// not to crash at its start.
 	soundEvents = 2
+	// staleConnTime is the time after which a request on a reused connection that the
+	// server had already dropped has failed: a round trip within a region.
+	staleConnTime = 25 * time.Millisecond
 	// isolationRetryAfter is the Retry-After of a request that is kept from servers. It
 	// is the time to the first trial.
 	isolationRetryAfter = 30 * time.Second
@@ -140,6 +143,9 @@
 	if x.eventCount >= soundEvents || len(x.q.info.PromptParts) == 0 {
 		return
 	}
+	if x.conn.Reused && x.resp == nil && now.Sub(x.sentAt) < staleConnTime {
+		return
+	}
 	x.q.crashedServer = x.serverName
 	x.q.f.isolation.ledger.RecordCrash(now, x.run())
 }
--- /dev/null
+++ b/internal/forwarder/isolation_test.go
@@ -0,0 +1,81 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/isolator"
+)
+
+// partsTestDialect is testDialect with a prompt of two parts.
+type partsTestDialect struct{ testDialect }
+
+func (d partsTestDialect) ParseRequest(h http.Header) RequestInfo {
+	info := d.testDialect.ParseRequest(h)
+	info.PromptParts = []identifier.PromptPart{"part"}
+	return info
+}
+
+// TestDroppedIdleConnectionIsNoCrash guards against blaming a request for connections that
+// servers dropped while they were idle.
+func TestDroppedIdleConnectionIsNoCrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		delay time.Duration
+		crash bool
+	}{"dropped before": {0, false}, "crashed under the request": {40 * time.Millisecond, true}} {
+		t.Run(name, func(t *testing.T) {
+			dropping := func(c net.Conn, r *http.Request) bool {
+				if r.Header.Get("Id") == "q1" {
+					_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: q1\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok")
+					return err == nil
+				}
+				time.Sleep(test.delay)
+				return false
+			}
+			withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": dropping}, func(tb *testbed) {
+				tb.Dialect = partsTestDialect{}
+				tb.call(context.Background(), "GET", "/any/x", "")
+				tb.call(context.Background(), "GET", "/any/x", "", "Id", "q2")
+				evidence, _ := tb.EvidenceSince(0)
+				if crashed := len(evidence) > 0 && len(evidence[0].Crashes) > 0; crashed != test.crash {
+					t.Errorf("evidence %+v", evidence)
+				}
+			})
+		})
+	}
+}
+
+// TestIsolatedRequestIsRefusedAndTakenBack: a request that an isolation covers does not reach
+// a server, and one that waits for its first event is taken from its server.
+func TestIsolatedRequestIsRefusedAndTakenBack(t *testing.T) {
+	withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": neverRespond, "second": neverRespond}, func(tb *testbed) {
+		tb.Dialect = partsTestDialect{}
+		done := make(chan callResult, 1)
+		go func() { done <- tb.call(context.Background(), "GET", "/stream/x", "") }()
+		time.Sleep(50 * time.Millisecond)
+		tb.SetIsolations([]isolator.Isolation{{
+			Key: isolator.Key{Service: "svc", Part: "part"}, Traits: isolator.NewTraits("", "", []identifier.PromptPart{"part"}),
+		}})
+		time.Sleep(10 * time.Millisecond)
+		select {
+		case res := <-done:
+			if res.status != http.StatusBadGateway {
+				t.Errorf("a request that may have run was answered with %+v", res)
+			}
+		default:
+			t.Error("the request was left at its server")
+		}
+		res := tb.call(context.Background(), "GET", "/stream/x", "", "Id", "q2")
+		if res.status != http.StatusServiceUnavailable || res.body != "isolated\n" || res.header.Get("Retry-After") == "" {
+			t.Errorf("got %+v", res)
+		}
+		if n := len(tb.backends["first"].receivedIDs()) + len(tb.backends["second"].receivedIDs()); n != 1 {
+			t.Errorf("%d requests reached servers, want 1", n)
+		}
+	})
+}
