--- a/internal/forwarder/isolation_test.go
+++ b/internal/forwarder/isolation_test.go
@@ -40,6 +40,7 @@
 			withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": dropping}, func(tb *testbed) {
 				tb.Dialect = partsTestDialect{}
 				tb.call(context.Background(), "GET", "/any/x", "")
+				time.Sleep(time.Second)
 				tb.call(context.Background(), "GET", "/any/x", "", "Id", "q2")
 				evidence, _ := tb.EvidenceSince(0)
 				if crashed := len(evidence) > 0 && len(evidence[0].Crashes) > 0; crashed != test.crash {
