coordinator, server: show isolations and their evidence in metrics and dumps

What operators saw: the number of isolations at fronts only, and their reasons only in the line of the decision. Change: the gauge isolations at core processes and at entries of serve; the dump of a core process holds the isolations and all evidence.

--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -10,6 +10,7 @@
 	"trefoilhead.org/trefoilhead/internal/driver"
 	"trefoilhead.org/trefoilhead/internal/grouper"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/isolator"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
@@ -26,6 +27,7 @@
 		"servers":                func() int64 { return c.countServers(func(*tracker.Server) bool { return true }) },
 		"servers_silent":         func() int64 { return c.countServers(func(s *tracker.Server) bool { return s.Silent }) },
 		"groups_open":            func() int64 { return c.countServers((*tracker.Server).Serving) },
+		"isolations":             func() int64 { s, _ := c.keeper.State(); return int64(len(s.Isolations)) },
 		"fronts": func() int64 {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -67,6 +69,10 @@
 	Log       driver.Status
 	Catalog   cataloger.Version
 	Evacuated []identifier.FailureDomain
+	// Isolations are in force, and CrashEvidence is what this process knows about requests
+	// under which servers crash.
+	Isolations    []isolator.Isolation
+	CrashEvidence []isolator.Evidence
 	// HasAuthority reports whether this process holds the placement authority. Groups
 	// is empty otherwise.
 	HasAuthority bool `json:"Leads"`
@@ -83,7 +89,7 @@
 	defer c.mu.Unlock()
 	s := State{
 		Settings: c.Settings, Log: c.driver.Status(), Catalog: state.Version, Evacuated: state.Evacuated, HasAuthority: hasAuthority,
-		LivePeers: c.livePeers(time.Now()),
+		Isolations: state.Isolations, CrashEvidence: c.ledger.ChangedSince(0), LivePeers: c.livePeers(time.Now()),
 	}
 	if hasAuthority {
 		s.Groups = c.placement.grouper.Groups()
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -218,6 +218,7 @@
 	set("requests_retried_total", stats.Retries)
 	set("requests_spilled_total", stats.SentRemotely)
 	set("requests_replayed_total", stats.Replayed)
+	set("isolations", uint64(s.relayer.IsolationCount()))
 	set("streams_open", uint64(stats.OpenResponses))
 	set("config_revision", uint64(s.config.Revision()))
 	set("link_messages_out_total", links.MessagesOut)
