forwarder, fronter: reset the connection of a broken answer to HTTP/1.0

What callers saw: nothing yet; looked for after a report of operators of similar systems: an answer that broke off halfway reaches the caller as a complete success. Cause: a response to HTTP/1.0 has no chunks and ends with its connection, and a broken one ended the same way. Evidence: TestBrokenAnswerToHTTP10IsReset failed without the reset: the caller got the beginning and then the end of the connection. Change: the connection is reset. Answers to HTTP/1.1 end without their last chunk, as before.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -317,7 +317,7 @@
 	switch {
 	case q.r.Context().Err() != nil:
 		q.recordOutcome(0, outcomeCallerLeft)
-		panic(http.ErrAbortHandler)
+		AbortResponse(q.r)
 	case q.possibleRuns == 0 && q.ctx.Err() == nil:
 		reason, retryAfter := c.Reason, c.RetryAfter
 		if reason == "" {
@@ -396,7 +396,7 @@
 	if err != nil {
 		q.lastError = err.Error()
 		q.recordOutcome(x.resp.StatusCode, outcomeCut)
-		panic(http.ErrAbortHandler)
+		AbortResponse(q.r)
 	}
 	q.recordOutcome(x.resp.StatusCode, outcomeServed)
 	return resultResponse
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -56,7 +56,7 @@
 			outcome = outcomeCallerLeft
 		}
 		q.recordOutcome(http.StatusOK, outcome)
-		panic(http.ErrAbortHandler)
+		AbortResponse(q.r)
 	}
 	q.writeFailure(choice)
 }
@@ -96,7 +96,7 @@
 	case errors.As(err, &writeErr):
 		x.finish(false, false)
 		q.recordOutcome(x.resp.StatusCode, outcomeCallerLeft)
-		panic(http.ErrAbortHandler)
+		AbortResponse(q.r)
 	}
 	x.recordFailure(err)
 	x.finish(false, false)
--- a/internal/fronter/callers.go
+++ b/internal/fronter/callers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/forwarder"
 )
 
 // The limits on callers' connections are part of the catalog and can change while
@@ -31,6 +32,7 @@
 func newCallerServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: placeholderTimeout, IdleTimeout: placeholderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: forwarder.ConnContext,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if lc, ok := c.(*limitedConn); ok && s == http.StateIdle {
 				lc.awaitingRequest.Store(true)
@@ -67,6 +69,14 @@
 	awaitingRequest atomic.Bool
 }
 
+// SetLinger is that of the TCP connection.
+func (lc *limitedConn) SetLinger(sec int) error {
+	if c, ok := lc.Conn.(*net.TCPConn); ok {
+		return c.SetLinger(sec)
+	}
+	return nil
+}
+
 // SetReadDeadline implements net.Conn. It replaces a deadline that results from
 // placeholderTimeout by one that follows the current limits.
 func (lc *limitedConn) SetReadDeadline(t time.Time) error {
