forwarder: count servers that crash at once under a request on a reused connection

Cause: took every end of a reused connection within 25 ms for one that had been dropped while it was idle. Change: the front opens a connection to the server: one that dropped an idle connection accepts it; one that has ended does not, and counts as crashed. TestDroppedIdleConnectionIsNoCrash has the case.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -40,8 +40,9 @@
 type exchange struct {
 	q      *request
 	server identifier.Server
-	// serverName names the server and its incarnation.
+	// serverName names the server and its incarnation, and address is its address.
 	serverName string
+	address    string
 	// runNumber is the request's possibleRuns including this exchange.
 	runNumber      int
 	conn           *pooler.Conn
@@ -102,7 +103,7 @@
 		return nil, resultNotSent
 	}
 	now := time.Now()
-	x := &exchange{q: q, server: s.ID, serverName: isolator.NewServerName(s.ID, s.Incarnation), runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
+	x := &exchange{q: q, server: s.ID, serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
 	// When the caller disconnects or the request's deadline passes, a connection
 	// deadline in the past interrupts reads and writes. stopCancelHook prevents that,
 	// and reports false if it has already happened.
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -143,13 +144,28 @@
 	if x.eventCount >= soundEvents || len(x.q.info.PromptParts) == 0 {
 		return
 	}
+	x.q.crashedServer = x.serverName
 	if x.conn.Reused && x.resp == nil && now.Sub(x.sentAt) < staleConnTime {
+		go x.q.f.confirmCrash(x.address, x.run())
 		return
 	}
-	x.q.crashedServer = x.serverName
 	x.q.f.isolation.ledger.RecordCrash(now, x.run())
 }
 
+// confirmCrash records a crash if the server cannot be reached any more. A server that only
+// dropped an idle connection can.
+func (f *Forwarder) confirmCrash(address string, r isolator.Run) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if c, err := f.Pool.Dial(ctx, address); err == nil {
+		_ = c.Close()
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isolation.ledger.RecordCrash(time.Now(), r)
+}
+
 // recordSound records once that the answer began and went on. The caller holds mu.
 func (x *exchange) recordSound(now time.Time) {
 	if x.sound || len(x.q.info.PromptParts) == 0 && x.q.f.isolation.ledger.IsEmpty() {
--- a/internal/forwarder/isolation_test.go
+++ b/internal/forwarder/isolation_test.go
@@ -22,26 +22,36 @@
 }
 
 // TestDroppedIdleConnectionIsNoCrash guards against blaming a request for connections that
-// servers dropped while they were idle.
+// servers dropped while they were idle, and against missing servers that crash at once.
 func TestDroppedIdleConnectionIsNoCrash(t *testing.T) {
 	for name, test := range map[string]struct {
-		delay time.Duration
-		crash bool
-	}{"dropped before": {0, false}, "crashed under the request": {40 * time.Millisecond, true}} {
+		delay       time.Duration
+		ends, crash bool
+	}{
+		"dropped before":       {0, false, false},
+		"broke off later":      {40 * time.Millisecond, false, true},
+		"server ended at once": {0, true, true},
+	} {
 		t.Run(name, func(t *testing.T) {
+			var tb *testbed
 			dropping := func(c net.Conn, r *http.Request) bool {
 				if r.Header.Get("Id") == "q1" {
 					_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: q1\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok")
 					return err == nil
 				}
 				time.Sleep(test.delay)
+				if test.ends {
+					tb.net.Kill("first")
+				}
 				return false
 			}
-			withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": dropping}, func(tb *testbed) {
+			withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": dropping}, func(b *testbed) {
+				tb = b
 				tb.Dialect = partsTestDialect{}
 				tb.call(context.Background(), "GET", "/any/x", "")
 				time.Sleep(time.Second)
 				tb.call(context.Background(), "GET", "/any/x", "", "Id", "q2")
+				time.Sleep(100 * time.Millisecond)
 				evidence, _ := tb.EvidenceSince(0)
 				if crashed := len(evidence) > 0 && len(evidence[0].Crashes) > 0; crashed != test.crash {
 					t.Errorf("evidence %+v", evidence)
