isolator: take the seed of the property test from seeder

Cause: TestMain repeated what seeder.Main does for the other packages. Change: it calls that, with the same seed 1; no check, bound or number of cases changes. The package's tests pass.

--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -1,7 +1,6 @@
 package isolator
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"reflect"
@@ -11,17 +10,10 @@
 	"pgregory.net/rapid"
 
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/seeder"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	isSet := false
-	flag.Visit(func(f *flag.Flag) { isSet = isSet || f.Name == "rapid.seed" })
-	if !isSet {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m)) }
 
 var start = time.Unix(1000, 0)
 
