throttler, forwarder, platform: read and log the request rates that servers name

An answer's limit is read, kept with its age for the incarnation of the server, logged when it begins, changes or ends, and counted in server_limits. No request is sent otherwise than before.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -40,6 +40,8 @@
 type exchange struct {
 	q      *request
 	server identifier.Server
+	// incarnation is that of the server.
+	incarnation identifier.Incarnation
 	// serverName names the server and its incarnation, and address is its address.
 	serverName string
 	address    string
@@ -103,7 +105,7 @@
 		return nil, resultNotSent
 	}
 	now := time.Now()
-	x := &exchange{q: q, server: s.ID, serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
+	x := &exchange{q: q, server: s.ID, incarnation: identifier.Incarnation(s.Incarnation), serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
 	// When the caller disconnects or the request's deadline passes, a connection
 	// deadline in the past interrupts reads and writes. stopCancelHook prevents that,
 	// and reports false if it has already happened.
@@ -207,6 +209,7 @@
 		x.conn.LimitReads(maxResponseHeaderBytes)
 	}
 	x.conn.UnlimitReads()
+	x.observeLimit()
 	return x.classifyResponse()
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/limiter"
 	"trefoilhead.org/trefoilhead/internal/pooler"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
@@ -83,6 +84,8 @@
 	Signed bool
 	// NotRun is set if the server states that it did not run the request.
 	NotRun bool
+	// Limit is what the server states about the request rate that it takes.
+	Limit throttler.Statement
 }
 
 // Limits that are the same in every deployment.
@@ -160,6 +163,8 @@
 	lastStallCheck time.Time
 
 	isolation isolationState
+	// limits holds the request rates that servers have named.
+	limits throttler.Ledger
 
 	counts counts
 }
@@ -192,6 +197,7 @@
 	}
 	f.counts = newCounts(f.Metrics)
 	metrics.NewRegisteredFunctionalGauge("isolations", f.Metrics, f.isolationCount)
+	metrics.NewRegisteredFunctionalGauge("server_limits", f.Metrics, f.limitCount)
 }
 
 // SetCatalog applies a catalog, unless its version is not newer than the current
