--- a/internal/coordinator/crash_harness_test.go
+++ b/internal/coordinator/crash_harness_test.go
@@ -15,9 +15,11 @@
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/emulator"
 	"trefoilhead.org/trefoilhead/internal/forwarder"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/piper"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
@@ -40,11 +42,15 @@
 }
 
 func (partsDialect) ParseResponse(h http.Header) forwarder.ResponseInfo {
-	return forwarder.ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	info := forwarder.ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	if _, err := fmt.Sscan(h.Get("Limit"), (*float64)(&info.Limit.Rate)); err == nil {
+		info.Limit.Kind = throttler.NamedLimit
+	}
+	return info
 }
 
-// servingCatalog adds routes, teams and services with engines to a catalog: one route
-// for each of the models m1 and m2 of one service.
+// servingCatalog adds routes, teams and services to a catalog: one route for each of the
+// models m1 and m2 of a service with engines, and one for a plain service.
 func servingCatalog(c *cataloger.Catalog) {
 	engine := &cataloger.Engine{Slots: 26, StepsPerPass: 7, StepTime: 6 * time.Millisecond, PrefillTokensPerSecond: 50000, MeanAnswerTokens: 70}
 	for _, m := range crashModels {
@@ -54,12 +60,19 @@
 			GapObjective: 200 * time.Millisecond, Targets: []cataloger.Target{{Service: "llm", Weight: 1}}, MaxAttempts: 2, Resumable: true,
 		})
 	}
-	c.Services = []cataloger.Service{{Name: "llm", Engine: engine}}
+	c.Services = []cataloger.Service{{Name: "llm", Engine: engine}, {Name: plainService}}
+	c.Routes = append(c.Routes, cataloger.Route{
+		Name: "r-" + plainService, Host: "h", PathPrefix: "/" + plainService + "/", Kind: cataloger.Idempotent, Timeout: 2 * time.Second,
+		LatencyObjective: 300 * time.Millisecond, Targets: []cataloger.Target{{Service: plainService, Weight: 1}}, MaxAttempts: 2,
+	})
 	for _, team := range crashTeams {
 		c.Teams = append(c.Teams, cataloger.Team{Name: identifier.Team(team), Keys: []string{"key-" + team}})
 	}
 }
 
+// plainService is the service of servers that run no engine.
+const plainService = "book"
+
 var (
 	crashModels = []string{"m1", "m2"}
 	crashTeams  = []string{"t1", "t2", "t3", "t4"}
@@ -102,6 +115,7 @@
 	listener net.Listener
 	sequence uint64
 	alive    bool
+	limit    emulator.LimitRecord
 }
 
 func newCrashFleet(s *system, seed uint64) *crashFleet {
@@ -151,16 +165,26 @@
 		e.sequence++
 		names := e.fleet.s.runningCores()
 		if len(names) > 0 {
-			e.fleet.s.coreNamed(names[int(e.sequence)%len(names)]).HandleAnnouncement(tracker.Server{
-				ID: identifier.Server(e.name), Service: "llm", Address: e.name + ":1", Domain: identifier.FailureDomain(e.domain), Slots: 26,
-				Incarnation: uint64(e.born.UnixMilli()), Sequence: e.sequence, LoadedModels: []string{e.model}, LastHeartbeatAt: time.Now(),
-				Membership: tracker.Membership{Group: identifier.Group("g" + e.name), Epoch: 1, State: tracker.StateOpen},
-			})
+			e.fleet.s.coreNamed(names[int(e.sequence)%len(names)]).HandleAnnouncement(e.announcement())
 		}
 		time.Sleep(crashHeartbeat)
 	}
 }
 
+func (e *crashEngine) announcement() tracker.Server {
+	s := tracker.Server{
+		ID: identifier.Server(e.name), Service: "llm", Address: e.name + ":1", Domain: identifier.FailureDomain(e.domain), Slots: 26,
+		Incarnation: uint64(e.born.UnixMilli()), Sequence: e.sequence, LastHeartbeatAt: time.Now(),
+	}
+	if e.model == "" {
+		s.Service = plainService
+		return s
+	}
+	s.LoadedModels = []string{e.model}
+	s.Membership = tracker.Membership{Group: identifier.Group("g" + e.name), Epoch: 1, State: tracker.StateOpen}
+	return s
+}
+
 // crash ends an engine and starts its successor after crashRestartTime.
 func (e *crashEngine) crash() {
 	f := e.fleet
@@ -223,8 +247,15 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		e.limit.RecordArrival(time.Now())
 		part := e.recordArrival(r)
 		time.Sleep(crashPrefillTime)
+		if e.model == "" {
+			if !e.writePlainAnswer(c, r) {
+				return
+			}
+			continue
+		}
 		if part != "" {
 			e.recordCrash(part)
 			return
@@ -261,7 +292,7 @@
 }
 
 func (e *crashEngine) writeStream(c net.Conn, r *http.Request) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"), e.limitHeader())
 	first := 1
 	if _, scanErr := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); scanErr == nil {
 		first++
@@ -298,10 +329,11 @@
 	// crashTeam is the only team that sends requests with crashing parts, if it is set.
 	crashTeam string
 
-	mu    sync.Mutex
-	calls []crashCall
-	next  int
-	wg    sync.WaitGroup
+	mu         sync.Mutex
+	calls      []crashCall
+	plainCalls []plainCall
+	next       int
+	wg         sync.WaitGroup
 }
 
 func newCrashCallers(s *system, f *crashFleet, seed uint64) *crashCallers {
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -23,6 +23,7 @@
 	callers *crashCallers
 }
 
+// runInCrashSystem runs a test in a system whose engines have been announced.
 func runInCrashSystem(t *testing.T, seed uint64, fronts int, test func(cs *crashSystem)) {
 	t.Helper()
 	runInSystem(t, func(s *system) {
--- a/internal/emulator/handlers.go
+++ b/internal/emulator/handlers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -87,6 +88,11 @@
 func (s *Server) admitRequest(w http.ResponseWriter, mark string, needsGroup bool) (Faults, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	s.limit.RecordArrival(now)
+	if rate, named := s.limit.Answer(now); named {
+		w.Header().Set(refuser.HeaderRateLimit, strconv.FormatFloat(rate, 'g', -1, 64))
+	}
 	if s.faults.RefuseRequests || needsGroup && s.Description.GetState() != "ready" {
 		w.Header().Set(refuser.HeaderStatement, string(refuser.NotRun))
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -67,6 +67,9 @@
 	CrashOnPrompt string `json:"crash_on_prompt"`
 	// RefuseRequests refuses every request with the statement that it did not run.
 	RefuseRequests bool `json:"refuse"`
+	// LimitPerSecond is the request rate that the server names in its answers; nil names
+	// none.
+	LimitPerSecond *float64 `json:"limit_per_s"`
 }
 
 // Server is one emulated backend server. Exported fields are set before Init.
@@ -98,6 +101,7 @@
 	// lastEntryURL is the entry VM that accepted the last announcement.
 	lastEntryURL string
 	lastLoadID   int
+	limit        LimitRecord
 }
 
 // Init sets the initial state. It must be called before any other method.
@@ -125,8 +129,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	if f.LimitPerSecond != nil {
+		s.limit.Name(time.Now(), *f.LimitPerSecond)
+	} else {
+		s.limit.End(time.Now())
+	}
 }
 
+// Limit returns the record of the rates that the server named and of the requests that
+// reached it.
+func (s *Server) Limit() *LimitRecord { return &s.limit }
+
 // RunCounts returns the number of admitted requests by request mark.
 func (s *Server) RunCounts() map[string]int {
 	s.mu.Lock()
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -25,6 +25,11 @@
 // server sets it to not_run when it refuses a request before running it.
 const HeaderStatement = "X-Trefoilhead-Statement"
 
+// HeaderRateLimit is the response header in which a backend server names the number of
+// requests in a second, with decimals, that it takes from all entries together. The limit
+// holds until an answer to a later request lacks the header.
+const HeaderRateLimit = "X-Trefoilhead-Rate-Limit"
+
 // Code is the stable name of the reason for a refusal.
 type Code string
 
