throttler, coordinator, fronter, forwarder, chooser: keep the request rates that servers name, all fronts together

Callers saw servers that go on getting all their requests although they name how many a second they take (LIMIT). Class: a bound that holds over all fronts, kept by nobody.

An answer ends it only if its request was sent after the limit was last named. Core processes issue permits: each its part of the rate, by the demand of its fronts and what they used lately, one by one in weighted round robin. Permits expire, and are issued again within a bound on those outstanding, so that nothing adds up in quiet times. A front that reaches no core process for a second keeps to its part of the rate by itself, in slots that expire as well. The chooser compares a server with a permit first and passes over one without; if that leaves none, the request is refused at once as limited, with the time at which this front may send again. A rate below 0.1 a second counts as 0.1, so that somebody notices its end.

Ruled out by measurement (internal/throttler TestMeasureShares): a bucket of a fixed share for each front gives up to 2.6 times the bound in bursts after quiet times; expiring slots alone use 51 to 65 % of a limit at 79 fronts where permits use 68 to 89 %.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -15,6 +15,7 @@
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
@@ -63,6 +64,9 @@
 	// time is predicted.
 	Reason     string
 	RetryAfter time.Duration
+	// Limited is the number of servers that could have taken the request but for the rates
+	// that they name.
+	Limited int
 }
 
 // Reasons for a refusal.
@@ -70,6 +74,9 @@
 	NoServer   = "no_server"
 	Overloaded = "overloaded"
 	ColdServer = "cold"
+	// Limited means that every server that could take the request has named a request rate
+	// that is used up.
+	Limited = "limited"
 )
 
 // serverState is what this front knows about the load and health of one server.
@@ -114,6 +121,8 @@
 	// allowed from all fronts together.
 	ColdOvershoot float64
 	ColdSlack     float64
+	// Allowance is what this front may send to servers that have named a request rate.
+	Allowance throttler.Allowance
 
 	catalog *cataloger.Catalog
 	// usableByService holds the servers that may get requests.
@@ -130,6 +139,18 @@
 	// candidates in the front's own failure domain, those in the other ones, and
 	// the sampled candidates.
 	sameDomain, otherDomains, sampled []*tracker.Server
+	// permitted is such a buffer for the candidates that have named a rate, and denied for
+	// the rates of servers that are no candidates because theirs is used up.
+	permitted []*tracker.Server
+	denied    []*throttler.Limit
+	// nextLimitedReturn is when the next caller that is refused for lack of permits is told
+	// to come back, by service and model.
+	nextLimitedReturn map[serviceModel]time.Time
+}
+
+type serviceModel struct {
+	service identifier.Service
+	model   string
 }
 
 // SetCatalog replaces the catalog.
@@ -153,6 +174,7 @@
 			delete(c.stateByID, id)
 		}
 	}
+	c.Allowance.Ledger.Expire(time.Now(), func(id identifier.Server) bool { return c.serverByID[id] != nil })
 }
 
 // resetIfReplaced clears the failure counts of a server that has restarted or
@@ -218,7 +240,10 @@
 	}
 	cold := c.collectCandidates(now, svc, &r)
 	if len(c.sameDomain)+len(c.otherDomains) == 0 {
-		if cold {
+		switch {
+		case len(c.denied) > 0:
+			return Choice{Reason: Limited, Limited: len(c.denied)}
+		case cold:
 			return Choice{Reason: ColdServer, RetryAfter: minRetryAfter}
 		}
 		return Choice{Reason: NoServer}
@@ -231,13 +256,14 @@
 	if best.PredictedDelay <= r.LatencyBudget {
 		return best
 	}
-	return Choice{Reason: Overloaded, RetryAfter: c.jitteredRetryAfter(best.PredictedDelay - r.LatencyBudget)}
+	return Choice{Reason: Overloaded, RetryAfter: c.jitteredRetryAfter(best.PredictedDelay - r.LatencyBudget), Limited: len(c.denied)}
 }
 
 // collectCandidates fills sameDomain and otherDomains with the servers that may
 // get the request. Suspect servers are included only if there is no other. It
 // reports whether a cold server was skipped because of its request rate.
 func (c *Chooser) collectCandidates(now time.Time, svc *cataloger.Service, r *Request) (cold bool) {
+	c.permitted, c.denied = c.permitted[:0], c.denied[:0]
 	for _, suspects := range []bool{false, true} {
 		if suspects && r.ExcludeSuspects {
 			break
@@ -248,6 +274,7 @@
 			case !c.isEligible(s, svc, r) || c.isSuspect(now, s) != suspects:
 			case !c.coldRateAllows(now, s, svc):
 				cold = true
+			case !c.limitAllows(now, s):
 			case s.Domain == c.Domain:
 				c.sameDomain = append(c.sameDomain, s)
 			default:
@@ -271,17 +298,24 @@
 
 // sampleTwo returns up to two random candidates, the first from the front's own
 // failure domain if there is any. Duplicate picks are dropped, so it may return
-// only one.
+// only one. A random candidate that has named a rate comes first, since the permit for it
+// expires.
 func (c *Chooser) sampleTwo() []*tracker.Server {
 	c.sampled = c.sampled[:0]
+	if n := len(c.permitted); n > 0 {
+		c.sampled = append(c.sampled, c.permitted[c.Rand.IntN(n)])
+	}
+	most := len(c.sampled) + 2
 	if n := len(c.sameDomain); n > 0 {
-		c.sampled = append(c.sampled, c.sameDomain[c.Rand.IntN(n)])
+		if s := c.sameDomain[c.Rand.IntN(n)]; !slices.Contains(c.sampled, s) {
+			c.sampled = append(c.sampled, s)
+		}
 	}
 	total := len(c.sameDomain) + len(c.otherDomains)
 	for range 2 {
 		i := c.Rand.IntN(total)
 		s := c.candidateAt(i)
-		if len(c.sampled) < 2 && !slices.Contains(c.sampled, s) {
+		if len(c.sampled) < most && !slices.Contains(c.sampled, s) {
 			c.sampled = append(c.sampled, s)
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -163,6 +163,7 @@
 	decider isolator.Decider
 	// isolating is set while a decision is being proposed to the log.
 	isolating atomic.Bool
+	limits    limits
 
 	confirmation confirmation
 	placement    placement
@@ -182,6 +183,7 @@
 	addressHash := xxhash.Sum64String(set.PeerAddress)
 	c.random = rand.New(rand.NewPCG(c.Seed, addressHash))
 	c.registryID = c.random.Uint64() >> 1
+	c.limits.allocator.Rand = rand.New(rand.NewPCG(c.Seed, addressHash+2))
 	c.registry.SilenceTimeout = time.Duration(SilenceTimeoutHeartbeats * float64(set.Bounds.HeartbeatInterval()))
 	c.changed = make(chan struct{})
 	c.unreported = map[identifier.Server]bool{}
@@ -307,6 +309,7 @@
 		}
 		now := time.Now()
 		c.expireServers(now)
+		c.issuePermits(now)
 		if now.Sub(lastHello) >= helloInterval {
 			lastHello = now
 			c.sendHellos(now)
--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -19,6 +19,8 @@
 	pullWait   time.Duration
 	loads      []*peerv1.ServerLoad
 	suspicions []*peerv1.ServerDoubt
+	// demand is its requests in a second, averaged over demandAveraging.
+	demand map[demandKey]float64
 }
 
 // Timeouts of reports and pulls of fronts.
@@ -43,10 +45,12 @@
 	c.mu.Lock()
 	if p.GetRegistry() == c.registryID {
 		// A front that only asks whether this process is confirmed counts elsewhere.
-		c.fronts[from] = &front{lastPullAt: time.Now(), pullWait: wait, loads: p.GetLoads(), suspicions: p.GetDoubts()}
+		c.recordFront(time.Now(), from, wait, p)
 	}
 	c.localDemand.add(p.GetDemands())
 	c.mergeEvidence(time.Now(), p.GetEvidence())
+	c.mergeLimits(time.Now(), from, p.GetLimits())
+	c.reportPermits(from, p.GetPermitReports())
 	for {
 		behind := p.GetRegistry() != c.registryID || p.GetRevision() != c.registry.Revision()
 		changed := c.changed
@@ -59,12 +63,23 @@
 		case <-ctx.Done():
 			return nil
 		case <-deadline.C:
-			return c.frontUpdate(p)
+			return c.frontUpdate(from, p)
 		case <-changed:
 		}
 		c.mu.Lock()
 	}
-	return c.frontUpdate(p)
+	return c.frontUpdate(from, p)
+}
+
+// recordFront records what a front reported in a pull. The caller must hold mu.
+func (c *Coordinator) recordFront(now time.Time, from identifier.VM, wait time.Duration, p *peerv1.FrontPull) {
+	f := &front{lastPullAt: now, pullWait: wait, loads: p.GetLoads(), suspicions: p.GetDoubts()}
+	elapsed := time.Duration(0)
+	if former := c.fronts[from]; former != nil {
+		f.demand, elapsed = former.demand, now.Sub(former.lastPullAt)
+	}
+	f.updateDemand(elapsed, p.GetDemands())
+	c.fronts[from] = f
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -76,7 +91,7 @@
 
 // frontUpdate returns the changes since the state that a front pulled last, or
 // the whole state if the front pulled from another registry.
-func (c *Coordinator) frontUpdate(p *peerv1.FrontPull) *peerv1.Envelope {
+func (c *Coordinator) frontUpdate(to identifier.VM, p *peerv1.FrontPull) *peerv1.Envelope {
 	// The age is read before the state, so that the state can only be newer than
 	// the age says.
 	ago, confirmed := c.confirmedAgo()
@@ -117,6 +132,12 @@
 	for _, s := range servers {
 		u.Servers = append(u.Servers, encoder.EncodeServer(now, s))
 	}
+	knownLimits := p.GetLimitsRevision()
+	if u.Full {
+		knownLimits = 0
+	}
+	u.Limits, u.LimitsRevision = encoder.EncodeLimits(now, c.limits.ledger.ChangedSince(knownLimits)), c.limits.ledger.Revision()
+	u.Permits = encoder.EncodeGrants(c.limits.allocator.Fetch(now, to))
 	u.Loads = c.allLoads(now)
 	return &peerv1.Envelope{FrontUpdate: u}
 }
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -106,6 +106,7 @@
 	}
 	p.lastHelloAt, p.lastHello = now, h
 	c.mergeEvidence(now, h.GetEvidence())
+	c.mergeLimits(now, from, h.GetLimits())
 	c.driver.MarkReplaced(from, replicator.NodeID(h.GetVoterId()))
 	for _, k := range h.GetKnown() {
 		vm := identifier.VM(k)
@@ -152,6 +153,7 @@
 		Fronts: uint32(c.countLocalFronts(now)), Loads: c.localLoads(now), Doubts: c.localSuspicions(now), Demands: c.localDemand.encode(),
 		Evidence: c.helloEvidence(now),
 	}
+	c.addLimits(now, h)
 	var to []identifier.VM
 	for vm, p := range c.peers {
 		if !p.lastHelloAt.IsZero() && now.Sub(p.lastHelloAt) > peerForgetTimeout && !isVoter(st.Voters, vm) {
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -190,6 +190,7 @@
 		"model", o.Model, "cut", o.CutRequests, "outcome", reply.Outcome, "slowdown", reply.Slowdown, "took", time.Since(sentAt), "reason", o.Reason)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.limits.allocator.Charge(o.Server)
 	if c.placement.term == term {
 		c.placement.grouper.HandleReply(time.Now(), o, reply)
 	}
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -11,6 +11,7 @@
 	"trefoilhead.org/trefoilhead/internal/grouper"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/isolator"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
@@ -20,14 +21,16 @@
 		c.Metrics = metrics.NewRegistry()
 	}
 	for name, value := range map[string]func() int64{
-		"log_term":               func() int64 { return int64(c.driver.Status().Term) },
-		"log_applied":            func() int64 { return int64(c.driver.Status().AppliedIndex) },
-		"catalog_version":        func() int64 { s, _ := c.keeper.State(); return int64(s.Version) },
-		"state_confirmed_ago_ms": func() int64 { ago, _ := c.confirmedAgo(); return ago.Milliseconds() },
-		"servers":                func() int64 { return c.countServers(func(*tracker.Server) bool { return true }) },
-		"servers_silent":         func() int64 { return c.countServers(func(s *tracker.Server) bool { return s.Silent }) },
-		"groups_open":            func() int64 { return c.countServers((*tracker.Server).Serving) },
-		"isolations":             func() int64 { s, _ := c.keeper.State(); return int64(len(s.Isolations)) },
+		"log_term":                  func() int64 { return int64(c.driver.Status().Term) },
+		"log_applied":               func() int64 { return int64(c.driver.Status().AppliedIndex) },
+		"catalog_version":           func() int64 { s, _ := c.keeper.State(); return int64(s.Version) },
+		"state_confirmed_ago_ms":    func() int64 { ago, _ := c.confirmedAgo(); return ago.Milliseconds() },
+		"servers":                   func() int64 { return c.countServers(func(*tracker.Server) bool { return true }) },
+		"servers_silent":            func() int64 { return c.countServers(func(s *tracker.Server) bool { return s.Silent }) },
+		"groups_open":               func() int64 { return c.countServers((*tracker.Server).Serving) },
+		"server_limits":             c.limitCount,
+		"server_limit_named_ago_ms": c.oldestLimitAge,
+		"isolations":                func() int64 { s, _ := c.keeper.State(); return int64(len(s.Isolations)) },
 		"fronts": func() int64 {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -73,6 +76,10 @@
 	// under which servers crash.
 	Isolations    []isolator.Isolation
 	CrashEvidence []isolator.Evidence
+	// Limits holds what this process knows of the request rates that servers name, those
+	// that have ended included, and Permits its issue of permits.
+	Limits  []throttler.Limit
+	Permits []throttler.AccountInfo
 	// HasAuthority reports whether this process holds the placement authority. Groups
 	// is empty otherwise.
 	HasAuthority bool `json:"Leads"`
@@ -89,7 +96,7 @@
 	defer c.mu.Unlock()
 	s := State{
 		Settings: c.Settings, Log: c.driver.Status(), Catalog: state.Version, Evacuated: state.Evacuated, HasAuthority: hasAuthority,
-		Isolations: state.Isolations, CrashEvidence: c.ledger.ChangedSince(0), LivePeers: c.livePeers(time.Now()),
+		Isolations: state.Isolations, CrashEvidence: c.ledger.ChangedSince(0), Limits: c.limits.ledger.ChangedSince(0), Permits: c.limits.allocator.Accounts(), LivePeers: c.livePeers(time.Now()),
 	}
 	if hasAuthority {
 		s.Groups = c.placement.grouper.Groups()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -145,11 +145,12 @@
 	// chooser counts the failure only if it was not caused by the request's context
 	// or by the limit on connections.
 	q.tried = append(q.tried, id)
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	q.f.chooser.Allowance.Return(id)
 	if q.ctx.Err() != nil || errors.Is(err, pooler.ErrConnLimit) {
 		return
 	}
-	q.f.mu.Lock()
-	defer q.f.mu.Unlock()
 	q.f.chooser.RecordConnectFailure(time.Now(), id)
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -163,8 +163,6 @@
 	lastStallCheck time.Time
 
 	isolation isolationState
-	// limits holds the request rates that servers have named.
-	limits throttler.Ledger
 
 	counts counts
 }
@@ -188,6 +186,9 @@
 // Init prepares the Forwarder, which chooses servers with c.
 func (f *Forwarder) Init(c *chooser.Chooser) {
 	f.chooser = c
+	if c.Allowance.Rand == nil {
+		c.Allowance.Rand = c.Rand
+	}
 	f.retryBudgets = map[identifier.Service]*limiter.RetryWindow{}
 	f.activeExchanges = map[*exchange]struct{}{}
 	f.demands = map[demandKey]*Demand{}
@@ -198,6 +199,7 @@
 	f.counts = newCounts(f.Metrics)
 	metrics.NewRegisteredFunctionalGauge("isolations", f.Metrics, f.isolationCount)
 	metrics.NewRegisteredFunctionalGauge("server_limits", f.Metrics, f.limitCount)
+	metrics.NewRegisteredFunctionalGauge("server_limit_named_ago_ms", f.Metrics, f.oldestLimitAge)
 }
 
 // SetCatalog applies a catalog, unless its version is not newer than the current
@@ -243,7 +245,7 @@
 	defer f.mu.Unlock()
 	f.chooser.SetOtherLoads(loads)
 	f.frontCount = max(frontCount, 1)
-	f.chooser.FrontCount = f.frontCount
+	f.chooser.FrontCount, f.chooser.Allowance.Fronts = f.frontCount, f.frontCount
 }
 
 // DisableKeepAlives makes every later response close its connection.
--- a/internal/forwarder/limits.go
+++ b/internal/forwarder/limits.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/throttler"
 )
 
@@ -16,31 +17,76 @@
 		return
 	}
 	f := x.q.f
-	now := time.Now()
 	s := x.respInfo.Limit
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	was := f.limits.Get(x.server, x.incarnation)
-	rate := throttler.Rate(0)
-	if was != nil {
-		rate = was.Rate
-	}
-	switch f.limits.Observe(now, x.server, x.incarnation, x.sentAt, s) {
-	case throttler.Began:
-		_ = level.Info(f.Logger).Log("msg", "server names a limit", "server", x.server, "per_s", float64(s.Rate), "id", x.q.info.ID)
-	case throttler.RateChanged:
-		_ = level.Info(f.Logger).Log("msg", "server names another limit", "server", x.server, "per_s", float64(s.Rate), "was_per_s", float64(rate), "id", x.q.info.ID)
-	case throttler.Ended:
-		_ = level.Info(f.Logger).Log("msg", "server names no limit any more", "server", x.server, "was_per_s", float64(rate), "id", x.q.info.ID)
-	}
 	if s.Kind == throttler.UnreadableLimit {
 		_ = level.Info(f.Logger).Log("msg", "limit of a server cannot be read", "server", x.server, "id", x.q.info.ID)
 	}
+	change := f.chooser.Allowance.Ledger.Observe(time.Now(), x.server, x.incarnation, x.sentAt, s)
+	f.logLimit(change, x.server, "answer to "+x.q.info.ID)
 }
 
-// limitCount returns the number of limits in force that this front knows.
-func (f *Forwarder) limitCount() int64 {
+// logLimit logs a change of what is known about a server's request rate. The caller holds
+// mu.
+func (f *Forwarder) logLimit(c throttler.Change, id identifier.Server, source string) {
+	if c == throttler.Unchanged {
+		return
+	}
+	l := f.chooser.Allowance.Ledger.Last(id)
+	now := time.Now()
+	_ = level.Info(f.Logger).Log("msg", "limit of a server "+c.String(), "server", id, "per_s", float64(l.Rate), "source", source,
+		"named_ago", now.Sub(l.NamedAt), "first_named_ago", now.Sub(l.FirstNamedAt))
+}
+
+// LimitsSince returns the limits of servers that have changed after a revision, and the
+// current revision.
+func (f *Forwarder) LimitsSince(revision uint64) ([]throttler.Limit, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := &f.chooser.Allowance.Ledger
+	return l.ChangedSince(revision), l.Revision()
+}
+
+// TakePermitReports returns what has become of permits since the last call.
+func (f *Forwarder) TakePermitReports(now time.Time) []throttler.PermitReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reports := f.chooser.Allowance.TakeReports(now)
+	for _, r := range reports {
+		f.counts.permitsUsed.Inc(int64(r.Used))
+		f.counts.permitsExpired.Inc(int64(r.Expired))
+	}
+	return reports
+}
+
+// ApplyLimits adds the limits and the permits in the reply of a core process to a call that
+// was made at calledAt.
+func (f *Forwarder) ApplyLimits(calledAt time.Time, source identifier.VM, limits []throttler.Limit, grants []throttler.Grant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range limits {
+		f.logLimit(f.chooser.Allowance.Ledger.Merge(l), l.Server, string(source))
+	}
+	f.chooser.Allowance.RecordContact(time.Now(), calledAt, grants)
+}
+
+// Limits returns the limits of servers in force and this front's permits, sorted by server.
+func (f *Forwarder) Limits(now time.Time) []throttler.AllowanceInfo {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return int64(len(f.limits.Limits()))
+	return f.chooser.Allowance.Infos(now)
+}
+
+// limitCount returns the number of limits in force that this front knows.
+func (f *Forwarder) limitCount() int64 { return int64(len(f.Limits(time.Now()))) }
+
+// oldestLimitAge returns the time in milliseconds since the limit in force that was named
+// longest ago was last named, or 0 if there is none.
+func (f *Forwarder) oldestLimitAge() int64 {
+	oldest := time.Duration(0)
+	for _, l := range f.Limits(time.Now()) {
+		oldest = max(oldest, l.NamedAgo)
+	}
+	return oldest.Milliseconds()
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -53,6 +53,9 @@
 	cachedTraits  *isolator.Traits
 	isTrial       bool
 	crashedServer string
+	// limitedServers is the number of servers that could have taken the request but for the
+	// rates that they name, as of the last choice without result.
+	limitedServers int
 	// connectFailures counts the connections that could not be opened.
 	connectFailures  int
 	lastError        string
@@ -79,8 +82,12 @@
 	// brokenOff counts the answers that ended with their connection before they were
 	// complete.
 	brokenOff metrics.Counter
-	// isolated counts the requests that an isolation kept from servers.
-	isolated metrics.Counter
+	// isolated counts the requests that an isolation kept from servers, and limited those
+	// that were refused because of the rates that servers name.
+	isolated, limited metrics.Counter
+	// permitsUsed and permitsExpired count the permits to send requests to servers that name
+	// a rate.
+	permitsUsed, permitsExpired metrics.Counter
 	// firstEventMS is the time to the first event of a stream and responseMS the time
 	// to the end of a served response, both in milliseconds.
 	firstEventMS, responseMS metrics.Histogram
@@ -101,9 +108,12 @@
 	return counts{
 		requests: counter("total"), served: counter("served"), refused: counter("refused"), failed: counter("failed"),
 		cut: counter("cut"), retries: counter("repeated"), movedRequests: counter("moved"),
-		isolated:     counter("isolated"),
-		brokenOff:    metrics.NewRegisteredCounter("answers_broken_off", r),
-		firstEventMS: histogram("first_event_ms"), responseMS: histogram("answer_ms"),
+		isolated:       counter("isolated"),
+		limited:        counter("limited"),
+		permitsUsed:    metrics.NewRegisteredCounter("permits_used", r),
+		permitsExpired: metrics.NewRegisteredCounter("permits_expired", r),
+		brokenOff:      metrics.NewRegisteredCounter("answers_broken_off", r),
+		firstEventMS:   histogram("first_event_ms"), responseMS: histogram("answer_ms"),
 	}
 }
 
@@ -180,10 +190,25 @@
 // timeLeft returns the time until the request's deadline.
 func (q *request) timeLeft() time.Duration { return time.Until(q.deadline) }
 
-// chooseServer returns the server to send the request to next. If allowLate is
-// set, a server is returned even if its response is predicted to be late.
+// chooseServer returns the server to send the request to next, and uses up the permit for it
+// if it has named a request rate. If allowLate is set, a server is returned even if its
+// response is predicted to be late.
 func (q *request) chooseServer(allowLate bool) chooser.Choice {
 	now := time.Now()
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	req := q.serverRequest(now, allowLate)
+	c := q.f.chooser.Choose(now, req)
+	if c.Server != nil {
+		q.f.chooser.TakePermit(now, c.Server)
+		return c
+	}
+	q.limitedServers = c.Limited
+	return q.f.chooser.RecordRefusal(now, req, c)
+}
+
+// serverRequest returns what the chooser needs to know of the request.
+func (q *request) serverRequest(now time.Time, allowLate bool) chooser.Request {
 	latencyBudget := q.route.LatencyObjective - now.Sub(q.receivedAt)
 	req := chooser.Request{
 		Service: q.service, PromptTokens: q.info.PromptTokens, LatencyBudget: latencyBudget, Exclude: q.tried, AllowLate: allowLate,
@@ -191,9 +216,7 @@
 	if q.engine != nil {
 		req.Model = q.info.Model
 	}
-	q.f.mu.Lock()
-	defer q.f.mu.Unlock()
-	return q.f.chooser.Choose(now, req)
+	return req
 }
 
 // allowRetry reports whether the request may be sent to one more server after the
@@ -279,7 +302,7 @@
 	sinceConfirmed, _ := q.f.SinceConfirmed()
 	_ = level.Info(q.f.Logger).Log("msg", "request", "id", q.info.ID, "status", status, "outcome", outcome, "route", route,
 		"team", q.teamName(), "model", q.info.Model, "servers", joinIDs(q.tried), "runs", q.possibleRuns,
-		"rejections", q.rejections, "unreached", q.connectFailures, "fault", q.lastError, "expected_ms", q.predictedDelay.Milliseconds(), "first_ms", q.timeToFirstEvent.Milliseconds(),
+		"rejections", q.rejections, "unreached", q.connectFailures, "limited", q.limitedServers, "fault", q.lastError, "expected_ms", q.predictedDelay.Milliseconds(), "first_ms", q.timeToFirstEvent.Milliseconds(),
 		"objective_ms", objective.Milliseconds(), "gap_ms", q.longestGap.Milliseconds(), "gap_objective_ms", gapObjective.Milliseconds(),
 		"total_ms", time.Since(q.receivedAt).Milliseconds(), "catalog", version, "fresh_ago_ms", sinceConfirmed.Milliseconds())
 }
@@ -327,6 +350,9 @@
 			retryAfter = q.f.outageRetryAfter()
 		}
 		q.f.recordRefusal(q)
+		if reason == chooser.Limited {
+			q.f.counts.limited.Inc(1)
+		}
 		q.respondError(http.StatusServiceUnavailable, reason, retryAfter)
 	case q.ctx.Err() != nil:
 		q.respondError(http.StatusGatewayTimeout, outcomeTimeout, 0)
@@ -415,12 +441,10 @@
 	if q.possibleRuns >= q.route.MaxAttempts || q.rejections > maxRejections {
 		return false
 	}
-	if c := q.chooseServer(true); c.Server == nil {
-		return false
-	}
 	q.f.mu.Lock()
 	defer q.f.mu.Unlock()
-	return q.reserveRetry(time.Now())
+	now := time.Now()
+	return q.f.chooser.Choose(now, q.serverRequest(now, true)).Server != nil && q.reserveRetry(now)
 }
 
 // writeResponseHeader forwards the status and headers of a response.
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -32,6 +32,7 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/linker"
 	"trefoilhead.org/trefoilhead/internal/pooler"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
@@ -126,6 +127,9 @@
 	isolationChanges uint64
 	evidenceRevision uint64
 	sentEvidence     uint64
+	// limitsRevision and sentLimits are the same for the request rates that servers name.
+	limitsRevision uint64
+	sentLimits     uint64
 	// avoidUntil holds the core processes that failed recently, and until when they
 	// are avoided.
 	avoidUntil map[identifier.VM]time.Time
@@ -136,6 +140,8 @@
 	coreLost bool
 	// unsentDemands are the demands of a failed pull.
 	unsentDemands []*peerv1.ModelDemand
+	// unsentPermits are the reports about permits of a failed pull.
+	unsentPermits []*peerv1.PermitReport
 }
 
 // Init prepares the front. It must be called before Run.
@@ -285,8 +291,9 @@
 		Settings   configurer.NodeSettings
 		Snapshot   Snapshot              `json:"Known"`
 		Suspicions []forwarder.Suspicion `json:"Doubts"`
+		Limits     []throttler.AllowanceInfo
 		Ready      bool
-	}{f.Settings, f.Snapshot(), f.forwarder.Suspicions(time.Now()), f.Ready()}
+	}{f.Settings, f.Snapshot(), f.forwarder.Suspicions(time.Now()), f.forwarder.Limits(time.Now()), f.Ready()}
 }
 
 // maintenanceLoop periodically moves stalled requests to other servers and closes
--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -136,6 +136,8 @@
 	evidence, evidenceRevision := f.forwarder.EvidenceSince(st.sentEvidence)
 	p.Evidence = encoder.EncodeEvidence(now, evidence)
 	p.EvidenceRevision, p.IsolationChanges = st.evidenceRevision, st.isolationChanges
+	limits, limitsRevision := f.forwarder.LimitsSince(st.sentLimits)
+	p.Limits, p.LimitsRevision = encoder.EncodeLimits(now, limits), st.limitsRevision
 	if core == st.core {
 		// The loads of a front that reported to several core processes would be counted
 		// several times.
@@ -151,6 +153,7 @@
 		}
 		st.failedPulls = min(st.failedPulls+1, maxFirstPullDoublings)
 		st.unsentDemands = append(st.unsentDemands, p.GetDemands()...)
+		st.unsentPermits = p.GetPermitReports()
 		st.coreLost = st.coreLost || core == st.core
 		return false
 	}
@@ -159,14 +162,19 @@
 		return false
 	}
 	st.coreLost = false
-	st.sentEvidence = evidenceRevision
+	st.sentEvidence, st.sentLimits = evidenceRevision, limitsRevision
+	if st.registryID != u.GetRegistry() {
+		// A core process that has just started, or another one, may not have what the
+		// former one was sent.
+		st.sentEvidence, st.sentLimits = 0, 0
+	}
 	if st.core != core {
-		// The new one may not have the evidence that the former one was sent.
-		st.sentEvidence = 0
 		_ = level.Info(f.Logger).Log("msg", "pulling from core process", "core", core, "was", st.core,
 			"catalog", u.GetCatalogVersion(), "confirmed_ago_ms", u.GetConfirmedAgoMs())
 		st.core = core
 	}
+	f.forwarder.ApplyLimits(now, core, encoder.DecodeLimits(time.Now(), u.GetLimits()), encoder.DecodeGrants(u.GetPermits()))
+	st.limitsRevision = u.GetLimitsRevision()
 	f.applyUpdate(calledAt, own, u)
 	return !u.GetUnconfirmed() && time.Duration(u.GetConfirmedAgoMs())*time.Millisecond < maxCoreStateAge
 }
@@ -202,6 +210,8 @@
 			Unreachable: uint32(s.ConnectFailures), Stalled: uint32(s.StalledRequests),
 		})
 	}
+	p.PermitReports, f.state.unsentPermits = f.state.unsentPermits, nil
+	p.PermitReports = append(p.PermitReports, encoder.EncodePermitReports(f.forwarder.TakePermitReports(now))...)
 	// The core process adds up demands, so those of a failed pull can go separately.
 	p.Demands, f.state.unsentDemands = f.state.unsentDemands, nil
 	for _, d := range f.forwarder.TakeDemands() {
--- /dev/null
+++ b/internal/throttler/allowance.go
@@ -0,0 +1,189 @@
+package throttler
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+)
+
+// contactTimeout is the time without a reply from a core process after which a front uses a
+// part of its own of each rate, instead of permits.
+const contactTimeout = time.Second
+
+// Allowance is what one front may send to servers with limits: the permits that it got from
+// a core process or, while it reaches none, a part of each rate that it keeps to by itself.
+// Exported fields are set before use, but Fronts may change between calls. It is not safe
+// for concurrent use.
+type Allowance struct {
+	Ledger Ledger
+	Rand   *rand.Rand
+	// Fronts is the number of fronts as of the last reply of a core process.
+	Fronts int
+
+	contactAt time.Time
+	states    map[identifier.Server]*allowanceState
+}
+
+// allowanceState is the state of one server's permits at one front.
+type allowanceState struct {
+	incarnation identifier.Incarnation
+	// rate is the limit for which the permits were issued.
+	rate Rate
+	// expiries holds when each permit expires, in ascending order.
+	expiries []time.Time
+	// nextSlotAt is when this front may send a request by itself.
+	nextSlotAt time.Time
+	unreported PermitReport
+}
+
+func (a *Allowance) stateOf(l *Limit) *allowanceState {
+	st := a.states[l.Server]
+	if st == nil || st.incarnation != l.Incarnation {
+		if a.states == nil {
+			a.states = map[identifier.Server]*allowanceState{}
+		}
+		st = &allowanceState{incarnation: l.Incarnation, rate: l.Rate, unreported: PermitReport{Server: l.Server}}
+		a.states[l.Server] = st
+	}
+	if l.Rate < st.rate {
+		// They were issued for a higher rate.
+		st.expiries = nil
+	}
+	st.rate = l.Rate
+	return st
+}
+
+// RecordContact records a reply of a core process to a call that was made at calledAt, and
+// the permits in it.
+func (a *Allowance) RecordContact(now, calledAt time.Time, grants []Grant) {
+	a.contactAt = calledAt
+	for _, g := range grants {
+		l := a.Ledger.byServer[g.Server]
+		if l == nil {
+			continue
+		}
+		st := a.stateOf(l)
+		for range g.Permits {
+			st.expiries = append(st.expiries, now.Add(g.Lifetime))
+		}
+		slices.SortFunc(st.expiries, time.Time.Compare)
+	}
+}
+
+// CanSend reports whether a request may be sent to a server whose limit is l now.
+func (a *Allowance) CanSend(now time.Time, l *Limit) bool {
+	st := a.stateOf(l)
+	st.dropExpired(now)
+	return len(st.expiries) > 0 || a.hasSlot(now, st)
+}
+
+// Take uses up a permit, and reports whether there was one.
+func (a *Allowance) Take(now time.Time, l *Limit) bool {
+	if !a.CanSend(now, l) {
+		return false
+	}
+	st := a.stateOf(l)
+	if len(st.expiries) > 0 {
+		st.expiries = st.expiries[1:]
+		st.unreported.Used++
+		return true
+	}
+	st.nextSlotAt = st.nextSlotAt.Add(a.slotInterval(st))
+	return true
+}
+
+// Return takes back the use of a permit for a request that did not reach the server.
+func (a *Allowance) Return(id identifier.Server) {
+	if st := a.states[id]; st != nil && st.unreported.Used > 0 {
+		st.unreported.Used--
+		st.unreported.Expired++
+	}
+}
+
+func (st *allowanceState) dropExpired(now time.Time) {
+	for len(st.expiries) > 0 && !now.Before(st.expiries[0]) {
+		st.expiries = st.expiries[1:]
+		st.unreported.Expired++
+	}
+}
+
+// slotInterval returns the time between two requests that this front may send by itself.
+func (a *Allowance) slotInterval(st *allowanceState) time.Duration {
+	return time.Duration(float64(time.Second) / float64(PermitRate(st.rate)) * float64(max(a.Fronts, 1)))
+}
+
+// hasSlot reports whether this front may send a request without a permit. While it reaches
+// no core process, it may send one in each interval, at a random phase and within
+// permitLifetime of it.
+func (a *Allowance) hasSlot(now time.Time, st *allowanceState) bool {
+	if now.Sub(a.contactAt) <= contactTimeout {
+		st.nextSlotAt = time.Time{}
+		return false
+	}
+	interval := a.slotInterval(st)
+	if st.nextSlotAt.IsZero() || st.nextSlotAt.Sub(now) > interval {
+		st.nextSlotAt = now.Add(time.Duration(a.Rand.Int64N(int64(interval))))
+	}
+	if missed := now.Sub(st.nextSlotAt) - permitLifetime; missed > 0 {
+		st.nextSlotAt = st.nextSlotAt.Add((missed/interval + 1) * interval)
+	}
+	return !now.Before(st.nextSlotAt)
+}
+
+// RecordDenied records that a request was refused for lack of a permit.
+func (a *Allowance) RecordDenied(l *Limit) { a.stateOf(l).unreported.Denied++ }
+
+// ExpectedInterval returns the mean time between two requests that this front may send to
+// any of some servers.
+func (a *Allowance) ExpectedInterval(limits []*Limit) time.Duration {
+	sum := Rate(0)
+	for _, l := range limits {
+		sum += PermitRate(l.Rate)
+	}
+	return time.Duration(float64(time.Second) / float64(max(sum, minRate)) * float64(max(a.Fronts, 1)))
+}
+
+// TakeReports returns what has become of permits since the last call, and forgets it.
+func (a *Allowance) TakeReports(now time.Time) []PermitReport {
+	var out []PermitReport
+	for id, st := range a.states {
+		st.dropExpired(now)
+		if r := st.unreported; r.Used+r.Expired+r.Denied > 0 {
+			out = append(out, r)
+			st.unreported = PermitReport{Server: id}
+		}
+		if l := a.Ledger.byServer[id]; (l == nil || !l.InForce()) && len(st.expiries) == 0 {
+			delete(a.states, id)
+		}
+	}
+	slices.SortFunc(out, func(x, y PermitReport) int { return cmp.Compare(x.Server, y.Server) })
+	return out
+}
+
+// AllowanceInfo describes one limit at a front for the state dump.
+type AllowanceInfo struct {
+	Server identifier.Server
+	// PerSecond is the rate that the server named, NamedAgo how long ago an answer last
+	// named it, and FirstNamedAgo how long ago one first did.
+	PerSecond               Rate
+	NamedAgo, FirstNamedAgo time.Duration
+	// Permits is the number of requests that the front may send now.
+	Permits int
+}
+
+// Infos returns the limits in force, sorted by server.
+func (a *Allowance) Infos(now time.Time) []AllowanceInfo {
+	var out []AllowanceInfo
+	for _, l := range a.Ledger.Limits() {
+		info := AllowanceInfo{Server: l.Server, PerSecond: l.Rate, NamedAgo: now.Sub(l.NamedAt), FirstNamedAgo: now.Sub(l.FirstNamedAt)}
+		if st := a.states[l.Server]; st != nil {
+			st.dropExpired(now)
+			info.Permits = len(st.expiries)
+		}
+		out = append(out, info)
+	}
+	return out
+}
--- a/internal/throttler/ledger.go
+++ b/internal/throttler/ledger.go
@@ -13,9 +13,9 @@
 	// newsInterval is how much later a limit must be named again for that to count as news
 	// for other processes.
 	newsInterval = 300 * time.Millisecond
-	// endedRetention is how long a limit is remembered after it has ended, so that delayed
-	// reports do not bring it back.
-	endedRetention = 30 * time.Second
+	// unknownRetention is how long a limit is kept while its server is not known. A process
+	// that has just started may learn of the limit first.
+	unknownRetention = 10 * time.Second
 )
 
 // Ledger holds the limits of servers. Its zero value is empty. Any two Ledgers that have
@@ -38,6 +38,19 @@
 	RateChanged
 )
 
+// String returns the change in the words of the logs.
+func (c Change) String() string {
+	switch c {
+	case Began:
+		return "begins"
+	case Ended:
+		return "ends"
+	case RateChanged:
+		return "changes"
+	}
+	return "is unchanged"
+}
+
 // Observe records what an answer of a server says. The argument sentAt is when the request
 // was sent.
 func (l *Ledger) Observe(now time.Time, id identifier.Server, inc identifier.Incarnation, sentAt time.Time, s Statement) Change {
@@ -118,6 +131,10 @@
 	return k
 }
 
+// Last returns what is known of a server's limit, also if it has ended, or nil. It is valid
+// until the next change.
+func (l *Ledger) Last(id identifier.Server) *Limit { return l.byServer[id] }
+
 // Limits returns copies of the limits in force, sorted by server.
 func (l *Ledger) Limits() []Limit {
 	return l.filter(func(k *Limit) bool { return k.InForce() })
@@ -143,11 +160,11 @@
 	return out
 }
 
-// Expire forgets limits of servers that are not known any more, and those that ended long
-// ago.
+// Expire forgets limits of servers that are not known any more. Limits that have ended are
+// remembered until then, so that delayed reports do not bring them back.
 func (l *Ledger) Expire(now time.Time, isKnown func(identifier.Server) bool) {
 	for id, k := range l.byServer {
-		if !isKnown(id) || !k.InForce() && now.Sub(k.NamedAt) > endedRetention {
+		if !isKnown(id) && now.Sub(k.NamedAt) > unknownRetention {
 			delete(l.byServer, id)
 		}
 	}
