relayer, server: keep the request rates that servers of serve name

Here the owner of a group sends all its requests, so it keeps the rate by a bucket of its own, half of it while another owner may exist; what is known of a limit is exchanged between entries with the evidence about crashes, so a new owner knows it. Requests wait in the fair queue for at most 0.5 s; beyond that the group refuses them as rate_limited with the time at which the rate allows the next one, and other groups are tried. Load reports show a limited group as nearly full, so entries prefer others early.

--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -55,6 +55,7 @@
 	BackendSilent      Code = "backend_silent"
 	AnswerIncomplete   Code = "answer_incomplete"
 	Isolated           Code = "isolated"
+	RateLimited        Code = "rate_limited"
 	Cancelled          Code = "cancelled"
 )
 
@@ -96,6 +97,7 @@
 	BackendSilent:      http.StatusGatewayTimeout,
 	AnswerIncomplete:   http.StatusBadGateway,
 	Isolated:           http.StatusServiceUnavailable,
+	RateLimited:        http.StatusServiceUnavailable,
 	Cancelled:          499,
 }
 
--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -10,6 +10,7 @@
 	"trefoilhead.org/trefoilhead/internal/locator"
 	"trefoilhead.org/trefoilhead/internal/refuser"
 	"trefoilhead.org/trefoilhead/internal/sharer"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 )
 
 // admissionController limits the concurrent requests to one group that this entry
@@ -40,6 +41,12 @@
 	address        string
 	// avgDuration is a moving average of the duration of a request.
 	avgDuration time.Duration
+	// limit is what is known of the request rate that the backend server names, and bucket
+	// keeps the requests of this owner to it. wake admits waiting requests when the rate
+	// allows the next one.
+	limit  *throttler.Limit
+	bucket throttler.Bucket
+	wake   *time.Timer
 }
 
 // averageWeight is the weight of the old value in the moving average of avgDuration.
@@ -57,6 +64,27 @@
 	return l
 }
 
+// rateLimit returns the request rate that this owner keeps, and false if there is none. Two
+// owners use half of the rate each.
+func (c *admissionController) rateLimit() (throttler.Rate, bool) {
+	if c.limit == nil || !c.limit.InForce() {
+		return 0, false
+	}
+	r := throttler.PermitRate(c.limit.Rate)
+	if c.ownership == locator.OwnershipUncertain && c.mayHaveOtherOwner(time.Now()) {
+		r /= 2
+	}
+	return r, true
+}
+
+// setLimit replaces what is known of the request rate that the backend server names.
+func (c *admissionController) setLimit(l *throttler.Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = l
+	c.admitWaiting()
+}
+
 // mayHaveOtherOwner reports whether another owner may be sending requests to the
 // group. Two owners with OwnershipUncertain use half of the limit each. A single one
 // returns to the full limit when the backend server has announced no requests of
@@ -91,11 +119,16 @@
 // releaseSlot afterwards if and only if admit returns nil.
 func (c *admissionController) admit(ctx context.Context, r *Request, wait time.Duration) *refuser.Refusal {
 	c.mu.Lock()
-	if c.running < c.currentLimit() && c.queue.Len() == 0 {
-		c.takeSlot()
+	if c.queue.Len() == 0 && c.tryTakeSlot() {
 		c.mu.Unlock()
 		return nil
 	}
+	if rate, limited := c.rateLimit(); limited {
+		if until := c.bucket.Wait(time.Now(), rate, c.queue.EstimatePosition(r.Team, r.TeamWeight)+1); until > min(wait, maxRateWait) {
+			c.mu.Unlock()
+			return refuser.New(refuser.RateLimited, refuser.NotRun, "the replica takes no more requests a second").WithRetryAfter(until)
+		}
+	}
 	expected := c.expectedWait(r)
 	if expected > wait || c.queue.Len() >= c.maxQueueLength && !c.evictFor(r.Team) {
 		c.mu.Unlock()
@@ -106,10 +139,45 @@
 		c.mu.Unlock()
 		return refuser.New(refuser.Overloaded, refuser.NotRun, "the team has too many requests waiting").WithRetryAfter(max(expected, time.Second))
 	}
+	c.scheduleWake()
 	c.mu.Unlock()
 	return c.waitInQueue(ctx, it, wait)
 }
 
+// maxRateWait is how long a request waits for a backend server whose request rate is used
+// up. Other groups are tried instead of a longer wait.
+const maxRateWait = 500 * time.Millisecond
+
+// tryTakeSlot takes a slot if the concurrency limit and the request rate allow that. The
+// caller holds mu.
+func (c *admissionController) tryTakeSlot() bool {
+	if c.running >= c.currentLimit() {
+		return false
+	}
+	if rate, limited := c.rateLimit(); limited && !c.bucket.Take(time.Now(), rate) {
+		return false
+	}
+	c.takeSlot()
+	return true
+}
+
+// scheduleWake lets waiting requests be admitted when the request rate allows the next one.
+// The caller holds mu.
+func (c *admissionController) scheduleWake() {
+	rate, limited := c.rateLimit()
+	if !limited || c.queue.Len() == 0 || c.running >= c.currentLimit() {
+		return
+	}
+	if c.wake != nil {
+		c.wake.Stop()
+	}
+	c.wake = time.AfterFunc(c.bucket.Wait(time.Now(), rate, 1), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.admitWaiting()
+	})
+}
+
 func (c *admissionController) waitInQueue(ctx context.Context, it *sharer.Item[chan queueOutcome], wait time.Duration) *refuser.Refusal {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -224,10 +292,10 @@
 }
 
 func (c *admissionController) admitWaiting() {
-	for c.running < c.currentLimit() && c.queue.Len() > 0 {
-		c.takeSlot()
+	for c.queue.Len() > 0 && c.tryTakeSlot() {
 		c.queue.Pop().Value <- admitted
 	}
+	c.scheduleWake()
 }
 
 // update applies the placement authority's current view of the group. A changed
@@ -264,10 +332,28 @@
 	Running uint32           `json:"running"`
 	Waiting int              `json:"waiting"`
 	Limit   uint32           `json:"limit"`
+	// PerSecond is the request rate that the backend server names, and PerSecondNamedAgo the
+	// time since an answer last named it. Both are 0 if there is none.
+	PerSecond         throttler.Rate `json:"limit_per_s"`
+	PerSecondNamedAgo time.Duration  `json:"limit_named_ago"`
 }
 
 func (c *admissionController) status(id identifier.Group) GroupStatus {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return GroupStatus{Group: id, Running: c.running, Waiting: c.queue.Len(), Limit: c.currentLimit()}
+	s := GroupStatus{Group: id, Running: c.running, Waiting: c.queue.Len(), Limit: c.reportedLimit()}
+	if _, limited := c.rateLimit(); limited {
+		s.PerSecond, s.PerSecondNamedAgo = c.limit.Rate, time.Since(c.limit.NamedAt)
+	}
+	return s
+}
+
+// reportedLimit returns the concurrency limit or, if that is lower, the number of requests
+// that run at the rate that the backend server names. Entries prefer other groups by it.
+func (c *admissionController) reportedLimit() uint32 {
+	limit := c.currentLimit()
+	if rate, limited := c.rateLimit(); limited && c.avgDuration > 0 {
+		limit = min(limit, max(uint32(float64(rate)*c.avgDuration.Seconds()), 1))
+	}
+	return limit
 }
--- /dev/null
+++ b/internal/relayer/limits.go
@@ -0,0 +1,99 @@
+package relayer
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/identifier"
+	"trefoilhead.org/trefoilhead/internal/refuser"
+	"trefoilhead.org/trefoilhead/internal/throttler"
+)
+
+// limitOf returns a copy of the request rate that the backend server of a group names, or
+// nil if there is none in force. The caller holds mu.
+func (o *Owner) limitOf(id identifier.Group, inc identifier.Incarnation) *throttler.Limit {
+	l := o.limits.Get(identifier.Server(id), inc)
+	if l == nil {
+		return nil
+	}
+	limit := *l
+	return &limit
+}
+
+// observeLimit records what an answer says about the request rate of its server.
+func (o *Owner) observeLimit(id identifier.Group, c *admissionController, sentAt time.Time, h http.Header) {
+	c.mu.Lock()
+	inc := c.incarnation
+	c.mu.Unlock()
+	o.mu.Lock()
+	change := o.limits.Observe(time.Now(), identifier.Server(id), inc, sentAt, parseRateLimit(h))
+	limit := o.limitOf(id, inc)
+	o.mu.Unlock()
+	if limit != nil || change != throttler.Unchanged {
+		c.setLimit(limit)
+	}
+	o.reportChange(id, change, limit)
+}
+
+// parseRateLimit reads the request rate that a backend server names.
+func parseRateLimit(h http.Header) throttler.Statement {
+	value := h.Get(refuser.HeaderRateLimit)
+	if value == "" {
+		return throttler.Statement{}
+	}
+	rate, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		return throttler.Statement{Kind: throttler.UnreadableLimit}
+	}
+	return throttler.Statement{Kind: throttler.NamedLimit, Rate: throttler.Rate(rate)}
+}
+
+func (o *Owner) reportChange(id identifier.Group, change throttler.Change, l *throttler.Limit) {
+	if change == throttler.Unchanged || o.OnLimitChange == nil {
+		return
+	}
+	rate := throttler.Rate(0)
+	if l != nil {
+		rate = l.Rate
+	}
+	o.OnLimitChange(id, change, rate)
+}
+
+// LimitsSince returns the request rates of groups that have changed after a revision, and the
+// current revision.
+func (o *Owner) LimitsSince(revision uint64) ([]throttler.Limit, uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.limits.ChangedSince(revision), o.limits.Revision()
+}
+
+// MergeLimits adds the request rates that another entry knows.
+func (o *Owner) MergeLimits(limits []throttler.Limit) {
+	for _, l := range limits {
+		id := identifier.Group(l.Server)
+		o.mu.Lock()
+		change := o.limits.Merge(l)
+		limit, c := o.limitOf(id, l.Incarnation), o.controllers[id]
+		o.mu.Unlock()
+		if change != throttler.Unchanged && c != nil {
+			c.setLimit(limit)
+		}
+		o.reportChange(id, change, limit)
+	}
+}
+
+// ExpireLimits forgets the request rates of groups that do not exist any more.
+func (o *Owner) ExpireLimits(now time.Time, groups map[identifier.Group]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.limits.Expire(now, func(id identifier.Server) bool { return groups[identifier.Group(id)] })
+}
+
+// LimitCount returns the number of request rates in force.
+func (o *Owner) LimitCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.limits.Limits())
+}
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -16,6 +16,7 @@
 	"trefoilhead.org/trefoilhead/internal/locator"
 	"trefoilhead.org/trefoilhead/internal/refuser"
 	"trefoilhead.org/trefoilhead/internal/streamer"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 )
 
 // Owner admits requests to the groups that this entry owns, and sends them to the
@@ -31,9 +32,15 @@
 	RunningRequests func(now time.Time, vm identifier.VM) (uint32, bool)
 	Client          *http.Client
 	Limits          Limits
+	// OnLimitChange, if set, is told that the request rate that a group's server names has
+	// begun, changed or ended.
+	OnLimitChange func(id identifier.Group, c throttler.Change, r throttler.Rate)
 
 	mu          sync.Mutex
 	controllers map[identifier.Group]*admissionController
+	// limits holds the request rates that backend servers name, by group. Entries exchange
+	// them, so that a new owner knows them.
+	limits throttler.Ledger
 }
 
 // Limits holds the limits on the time, size and number of requests. FirstTokenTimeout
@@ -75,7 +82,7 @@
 		c.releaseSlot(RequestResult{Inconclusive: true})
 		return nil, refuser.New(refuser.Moved, refuser.NotRun, "the replica stopped serving").WithRetryAfter(time.Second)
 	}
-	return o.sendToServer(ctx, c, address, r)
+	return o.sendToServer(ctx, id, c, address, r)
 }
 
 // controllerFor returns a group's admission controller and address, or a refusal if
@@ -121,6 +128,7 @@
 		o.controllers[id] = c
 	}
 	c.update(ownership, identifier.Incarnation(view.GetIncarnation()), view.GetAddress(), view.GetColdConcurrency(), view.GetConcurrency())
+	c.setLimit(o.limitOf(id, identifier.Incarnation(view.GetIncarnation())))
 	return c
 }
 
@@ -171,7 +179,7 @@
 
 // sendToServer sends an admitted request to the backend server. The slot is released
 // when the response body is closed, or before a refusal is returned.
-func (o *Owner) sendToServer(ctx context.Context, c *admissionController, address string, r *Request) (*Response, *refuser.Refusal) {
+func (o *Owner) sendToServer(ctx context.Context, id identifier.Group, c *admissionController, address string, r *Request) (*Response, *refuser.Refusal) {
 	ctx, cancel := context.WithCancel(ctx)
 	var gotConn atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
@@ -189,6 +197,7 @@
 		cancel()
 		return nil, o.handleSendError(ctx, c, gotConn.Load(), timedOut, err)
 	}
+	o.observeLimit(id, c, startTime, resp.Header)
 	if refusal := parseServerRefusal(resp); refusal != nil {
 		watchdog.Stop()
 		cancel()
--- a/internal/server/isolation.go
+++ b/internal/server/isolation.go
@@ -17,7 +17,9 @@
 // backend servers. Only stepIsolation uses it.
 type evidenceState struct {
 	sentRevision uint64
-	lastFullAt   time.Time
+	// sentLimits is the same as sentRevision for the request rates that servers name.
+	sentLimits uint64
+	lastFullAt time.Time
 }
 
 // stepIsolation decides which requests are kept from backend servers, and sends the
@@ -28,16 +30,20 @@
 		s.logIsolation(c)
 	}
 	st := &s.evidence
-	since := st.sentRevision
+	since, limitsSince := st.sentRevision, st.sentLimits
 	if now.Sub(st.lastFullAt) >= fullEvidenceInterval {
-		since, st.lastFullAt = 0, now
+		since, limitsSince, st.lastFullAt = 0, 0, now
 	}
 	evidence, revision := s.relayer.EvidenceSince(since)
-	st.sentRevision = revision
-	if len(evidence) == 0 {
+	s.relayer.Owner.ExpireLimits(now, s.locator.GroupIDs())
+	limits, limitsRevision := s.relayer.Owner.LimitsSince(limitsSince)
+	st.sentRevision, st.sentLimits = revision, limitsRevision
+	if len(evidence)+len(limits) == 0 {
 		return
 	}
-	report := &peerv1.Envelope{EvidenceReport: &peerv1.EvidenceReport{Evidence: encoder.EncodeEvidence(now, evidence)}}
+	report := &peerv1.Envelope{EvidenceReport: &peerv1.EvidenceReport{
+		Evidence: encoder.EncodeEvidence(now, evidence), Limits: encoder.EncodeLimits(now, limits),
+	}}
 	for _, p := range s.Settings.Peers {
 		if p.VM != s.Settings.VM {
 			s.linker.Send(p.VM, report)
@@ -63,4 +69,5 @@
 	for _, e := range r.GetEvidence() {
 		s.relayer.MergeEvidence(now, encoder.DecodeEvidence(now, e))
 	}
+	s.relayer.Owner.MergeLimits(encoder.DecodeLimits(now, r.GetLimits()))
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,7 @@
 	"trefoilhead.org/trefoilhead/internal/registrar"
 	"trefoilhead.org/trefoilhead/internal/relayer"
 	"trefoilhead.org/trefoilhead/internal/router"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 )
 
 // Names of the replicated logs.
@@ -171,7 +172,12 @@
 	s.relayer = &relayer.Relayer{
 		VM: cfg.VM, Locator: s.locator, Limits: limits, ClaimsLog: claimRunner{s}, CheckReady: s.checkReady,
 		Policy: &router.PrefixAffinity{MaxRelativeLoad: maxRelativeLoad},
-		Owner:  &relayer.Owner{Locator: s.locator, HasLostMember: s.registrar.AnyLost, RunningRequests: s.registrar.RunningRequests, Client: newBackendClient(dialer, s.tls), Limits: limits},
+		Owner: &relayer.Owner{
+			Locator: s.locator, HasLostMember: s.registrar.AnyLost, RunningRequests: s.registrar.RunningRequests, Client: newBackendClient(dialer, s.tls), Limits: limits,
+			OnLimitChange: func(id identifier.Group, c throttler.Change, r throttler.Rate) {
+				s.logInfo("limit", "limit of a server "+c.String(), "group", id, "per_s", float64(r))
+			},
+		},
 		PeerClient: &relayer.PeerClient{
 			PeerKey: cfg.Keys.Peer, Addresses: addresses, Scheme: s.tls.scheme("http"), Client: client, Limits: limits,
 		},
