fronter, coordinator: count fronts on over a restart of core processes

Callers saw nothing yet; servers could get more repeats, more requests while cold and more connections than all fronts together may send: each front divides these bounds by the number of fronts, and took the number from core processes that had just started and had heard of few.

A front uses the highest number that it has heard within 10 s, the time for which core processes count a front, and reports it; core processes that are younger than that count no fewer, for fronts that start then.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -152,6 +152,8 @@
 	helloEvidenceRevision uint64
 	lastFullEvidenceAt    time.Time
 	fronts                map[identifier.VM]*front
+	// reportedFronts is the highest number of fronts that a front has reported.
+	reportedFronts int
 	// localDemand sums up the demand that the fronts pulling from this process
 	// have reported.
 	localDemand demandTotals
--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -28,9 +28,9 @@
 	// frontReportTTL is how long the loads and suspicions that a front reported are
 	// taken into account.
 	frontReportTTL = 1500 * time.Millisecond
-	// frontCountTTL is how long after its last pull a front counts among those
+	// FrontCountTTL is how long after its last pull a front counts among those
 	// that share retry budgets, connection limits and the rate of cold servers.
-	frontCountTTL = 10 * time.Second
+	FrontCountTTL = 10 * time.Second
 	// pullBatchDelay is how long a reply with changes is delayed so that it includes
 	// further changes.
 	pullBatchDelay = 15 * time.Millisecond
@@ -47,6 +47,7 @@
 		// A front that only asks whether this process is confirmed counts elsewhere.
 		c.recordFront(time.Now(), from, wait, p)
 	}
+	c.reportedFronts = max(c.reportedFronts, int(p.GetFronts()))
 	c.localDemand.add(p.GetDemands())
 	c.mergeEvidence(time.Now(), p.GetEvidence())
 	c.mergeLimits(time.Now(), from, p.GetLimits())
@@ -162,20 +163,24 @@
 }
 
 // countLocalFronts counts the fronts that pull from this process, and removes
-// those whose last pull is older than frontCountTTL. The caller must hold mu.
+// those whose last pull is older than FrontCountTTL. The caller must hold mu.
 func (c *Coordinator) countLocalFronts(now time.Time) int {
-	maps.DeleteFunc(c.fronts, func(_ identifier.VM, f *front) bool { return now.Sub(f.lastPullAt) > frontCountTTL })
+	maps.DeleteFunc(c.fronts, func(_ identifier.VM, f *front) bool { return now.Sub(f.lastPullAt) > FrontCountTTL })
 	return len(c.fronts)
 }
 
-// countAllFronts counts the fronts of the whole system. The caller must hold mu.
+// countAllFronts counts the fronts of the whole system. A process that has just started has
+// not heard of all, and relies on what fronts have counted. The caller must hold mu.
 func (c *Coordinator) countAllFronts(now time.Time) int {
 	n := c.countLocalFronts(now)
 	for _, p := range c.peers {
-		if now.Sub(p.lastHelloAt) <= frontCountTTL {
+		if now.Sub(p.lastHelloAt) <= FrontCountTTL {
 			n += int(p.lastHello.GetFronts())
 		}
 	}
+	if now.Sub(c.startedAt) < FrontCountTTL {
+		n = max(n, c.reportedFronts)
+	}
 	return n
 }
 
--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -131,6 +131,7 @@
 	p := &peerv1.FrontPull{
 		FailureDomain: string(f.Settings.FailureDomain), Registry: st.registryID, Revision: st.revision,
 		CatalogVersion: uint64(st.catalogVersion), WaitMs: uint32(wait.Milliseconds()), MaxStateAgeMs: f.maxStateAge(),
+		Fronts: uint32(st.frontCount),
 	}
 	own := f.forwarder.OwnLoads()
 	evidence, evidenceRevision := f.forwarder.EvidenceSince(st.sentEvidence)
@@ -241,7 +242,7 @@
 func (f *Front) applyUpdate(calledAt time.Duration, own map[identifier.Server]chooser.Load, u *peerv1.FrontUpdate) {
 	st := &f.state
 	now := time.Now()
-	st.cores, st.frontCount = u.GetCores(), int(u.GetFronts())
+	st.cores, st.frontCount = u.GetCores(), st.frontCounts.Record(now, int(u.GetFronts()))
 	if len(u.GetCatalog()) > 0 && u.GetCatalogVersion() > uint64(st.catalogVersion) {
 		cat, err := f.DecodeCatalog(u.GetCatalog())
 		if err != nil {
@@ -264,7 +265,7 @@
 			PendingPromptTokens: max(int(l.GetUnreadTokens())-own[id].PendingPromptTokens, 0),
 		}
 	}
-	f.forwarder.SetOtherFronts(loads, int(u.GetFronts()))
+	f.forwarder.SetOtherFronts(loads, st.frontCount)
 	if st.catalogVersion > 0 {
 		f.hasUpdate.Store(true)
 	}
@@ -299,6 +300,8 @@
 	st.registryID, st.revision, st.evacuated = u.GetRegistry(), u.GetRevision(), evacuated
 	if changed {
 		f.forwarder.SetServers(st.servers.All(), evacuated)
+	}
+	if snapshot := f.Snapshot(); changed || snapshot.Fronts != st.frontCount || snapshot.Catalog != st.catalogVersion {
 		f.publishSnapshot()
 	}
 }
@@ -357,7 +360,8 @@
 	f.snapshot.Store(s)
 }
 
-// Snapshot returns the state as of the last change of the servers.
+// Snapshot returns the state as of the last change of the servers, the catalog or the number
+// of fronts.
 func (f *Front) Snapshot() Snapshot {
 	if s := f.snapshot.Load(); s != nil {
 		return *s
