--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -26,8 +26,6 @@
 
 const streamBufferSize = 4 << 10
 
-var errEventTooLong = errors.New("the server sent an event that is longer than allowed")
-
 // serveStream forwards a request whose response is an event stream.
 func (q *request) serveStream() {
 	s := &stream{q: q, flusher: http.NewResponseController(q.w)}
@@ -120,7 +118,7 @@
 				return writeErr
 			}
 			if events.TooLong() {
-				return errEventTooLong
+				return streamer.ErrEventTooLong
 			}
 		}
 		if errors.Is(err, io.EOF) && events.Buffered() > 0 {
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -278,8 +278,6 @@
 	return &streamer.Splitter{}
 }
 
-var errEventTooLong = errors.New("the server sent an event that is longer than allowed")
-
 // serverResponseBody is the body of a backend server's response. It cancels the
 // request when no data arrives for idleTimeout. In an event stream, only complete events
 // that are not comments count as data.
@@ -310,7 +308,7 @@
 			b.watchdog.Reset(b.idleTimeout)
 		}
 		if b.events != nil && b.events.TooLong() {
-			err = errEventTooLong
+			err = streamer.ErrEventTooLong
 		}
 	}
 	switch {
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
@@ -35,6 +36,9 @@
 // MaxEventBytes is the size of the longest event that is accepted.
 const MaxEventBytes = 256 << 10
 
+// ErrEventTooLong means that a server sent an event that is longer than MaxEventBytes.
+var ErrEventTooLong = errors.New("the server sent an event that is longer than allowed")
+
 // maxEndBytes is the length of the longest blank line that ends an event, with the end of
 // the line before it.
 const maxEndBytes = len("\r\n\r\n")
