--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -55,7 +55,6 @@
 	// last event or, before the first one, the time at which the request was sent.
 	lastEventAt    time.Time
 	predictedDelay time.Duration
-	gotFirstEvent  bool
 	// eventCount is the number of events that were forwarded, and sentAt the time at which
 	// the request was sent.
 	eventCount int
@@ -86,6 +85,9 @@
 	writeTimeout = 2 * time.Second
 )
 
+// hasFirstEvent reports whether an event of the answer was forwarded. The caller holds mu.
+func (x *exchange) hasFirstEvent() bool { return !x.firstEventAt.IsZero() }
+
 // send sends the request to a server and reads the header of the response. The
 // exchange is nil unless the result is resultResponse.
 func (q *request) send(c chooser.Choice, lastEventID string) (*exchange, sendResult) {
@@ -314,7 +316,7 @@
 	}
 	x.finished = true
 	delete(f.activeExchanges, x)
-	f.chooser.RecordEnd(x.server, x.q.info.PromptTokens, x.gotFirstEvent)
+	f.chooser.RecordEnd(x.server, x.q.info.PromptTokens, x.hasFirstEvent())
 	if complete {
 		f.chooser.RecordResponse(time.Now(), x.server)
 	}
@@ -360,11 +362,11 @@
 	if x.eventCount >= soundEvents {
 		defer x.recordSound(now)
 	}
-	if x.gotFirstEvent {
+	if x.hasFirstEvent() {
 		f.chooser.RecordGap(now, x.server, pause)
 		f.chooser.RecordResponse(now, x.server)
 		return
 	}
-	x.gotFirstEvent, x.firstEventAt = true, now
+	x.firstEventAt = now
 	f.chooser.RecordFirstEvent(now, x.server, x.q.info.PromptTokens)
 }
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -72,7 +72,7 @@
 	}
 	st.isolations = next
 	for x := range f.activeExchanges {
-		if !x.gotFirstEvent && !x.q.isTrial && x.q.isolation() != nil {
+		if !x.hasFirstEvent() && !x.q.isTrial && x.q.isolation() != nil {
 			x.isolated = true
 			_ = x.conn.SetDeadline(time.Unix(1, 0))
 		}
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -60,7 +60,7 @@
 // moved. The caller holds mu.
 func (x *exchange) silenceLimit() time.Duration {
 	r := x.q.route
-	if x.gotFirstEvent {
+	if x.hasFirstEvent() {
 		return max(minRequestSilence, gapSilenceFactor*r.GapObjective)
 	}
 	return max(minRequestSilence, firstEventSilenceFactor*r.LatencyObjective, x.predictedDelay+r.LatencyObjective)
@@ -105,7 +105,7 @@
 // meetsObjective reports whether the next event is on time if another server sends
 // it after predictedDelay. The caller holds mu.
 func (x *exchange) meetsObjective(now time.Time, predictedDelay time.Duration) bool {
-	if x.gotFirstEvent {
+	if x.hasFirstEvent() {
 		return now.Sub(x.lastEventAt)+predictedDelay <= x.q.route.GapObjective
 	}
 	return now.Sub(x.q.receivedAt)+predictedDelay <= x.q.route.LatencyObjective
