--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/configurer"
+	"trefoilhead.org/trefoilhead/internal/differ"
 	"trefoilhead.org/trefoilhead/internal/driver"
 	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/exposer"
@@ -147,11 +148,9 @@
 	unreported   map[identifier.Server]bool
 	reportUrgent bool
 	peers        map[identifier.VM]*peer
-	// helloEvidenceRevision is the revision of the ledger as of the last hello, and
-	// lastFullEvidenceAt when a hello last carried all of it.
-	helloEvidenceRevision uint64
-	lastFullEvidenceAt    time.Time
-	fronts                map[identifier.VM]*front
+	// helloEvidenceCursor tells which evidence the next hello carries.
+	helloEvidenceCursor differ.Cursor
+	fronts              map[identifier.VM]*front
 	// reportedFronts is the highest number of fronts that a front has reported.
 	reportedFronts int
 	// localDemand sums up the demand that the fronts pulling from this process
--- a/internal/coordinator/isolation.go
+++ b/internal/coordinator/isolation.go
@@ -13,10 +13,6 @@
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
 
-// fullEvidenceInterval is how often a hello carries all evidence and not only what is
-// new, because a hello can be lost.
-const fullEvidenceInterval = time.Second
-
 // mergeEvidence adds the evidence of another process. The caller must hold mu.
 func (c *Coordinator) mergeEvidence(now time.Time, in []*peerv1.CrashEvidence) {
 	for _, m := range in {
@@ -26,12 +22,7 @@
 
 // helloEvidence returns the evidence for the next hello. The caller must hold mu.
 func (c *Coordinator) helloEvidence(now time.Time) []*peerv1.CrashEvidence {
-	since := c.helloEvidenceRevision
-	if now.Sub(c.lastFullEvidenceAt) >= fullEvidenceInterval {
-		since, c.lastFullEvidenceAt = 0, now
-	}
-	c.helloEvidenceRevision = c.ledger.Revision()
-	return encoder.EncodeEvidence(now, c.ledger.ChangedSince(since))
+	return encoder.EncodeEvidence(now, c.ledger.ChangedSince(c.helloEvidenceCursor.Next(now, c.ledger.Revision())))
 }
 
 // runIsolation forgets old evidence and, on the leader, decides which requests are kept
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"trefoilhead.org/trefoilhead/internal/differ"
 	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/throttler"
@@ -15,9 +16,6 @@
 
 // Weights of fronts for the permits of servers that have named a request rate.
 const (
-	// fullLimitsInterval is how often a hello carries all limits and not only the changed
-	// ones, because a hello can be lost.
-	fullLimitsInterval = time.Second
 	// demandAveraging is the time constant of the average of a front's demand.
 	demandAveraging = 2 * time.Second
 	// A front without demand has a weight of baseDemandShare of the mean demand and
@@ -31,10 +29,8 @@
 type limits struct {
 	ledger    throttler.Ledger
 	allocator throttler.Allocator
-	// helloRevision is the revision of the ledger as of the last hello, and lastFullAt when
-	// a hello last carried all of it.
-	helloRevision uint64
-	lastFullAt    time.Time
+	// helloCursor tells which limits the next hello carries.
+	helloCursor differ.Cursor
 	// weights is this process's weight for each limited server, for the next hello.
 	weights map[identifier.Server]float64
 }
@@ -160,12 +156,7 @@
 // mu.
 func (c *Coordinator) addLimits(now time.Time, h *peerv1.CoreHello) {
 	l := &c.limits
-	since := l.helloRevision
-	if now.Sub(l.lastFullAt) >= fullLimitsInterval {
-		since, l.lastFullAt = 0, now
-	}
-	l.helloRevision = l.ledger.Revision()
-	h.Limits = encoder.EncodeLimits(now, l.ledger.ChangedSince(since))
+	h.Limits = encoder.EncodeLimits(now, l.ledger.ChangedSince(l.helloCursor.Next(now, l.ledger.Revision())))
 	for id, w := range l.weights {
 		h.LimitWeights = append(h.LimitWeights, &peerv1.LimitWeight{Id: string(id), Weight: w})
 	}
--- a/internal/relayer/isolation.go
+++ b/internal/relayer/isolation.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"trefoilhead.org/trefoilhead/internal/differ"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/isolator"
 	"trefoilhead.org/trefoilhead/internal/refuser"
@@ -161,12 +162,12 @@
 	}
 }
 
-// EvidenceSince returns the evidence that has changed after a revision, and the current
-// revision.
-func (t *Relayer) EvidenceSince(revision uint64) ([]isolator.Evidence, uint64) {
+// NextEvidence returns the evidence that goes into the next message to the other entries.
+func (t *Relayer) NextEvidence(now time.Time, c *differ.Cursor) []isolator.Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isolation.ledger.ChangedSince(revision), t.isolation.ledger.Revision()
+	l := &t.isolation.ledger
+	return l.ChangedSince(c.Next(now, l.Revision()))
 }
 
 // MergeEvidence adds the evidence of another entry.
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/differ"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/refuser"
 	"trefoilhead.org/trefoilhead/internal/throttler"
@@ -61,12 +62,11 @@
 	o.OnLimitChange(id, change, rate)
 }
 
-// LimitsSince returns the request rates of groups that have changed after a revision, and the
-// current revision.
-func (o *Owner) LimitsSince(revision uint64) ([]throttler.Limit, uint64) {
+// NextLimits returns the request rates that go into the next message to the other entries.
+func (o *Owner) NextLimits(now time.Time, c *differ.Cursor) []throttler.Limit {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.limits.ChangedSince(revision), o.limits.Revision()
+	return o.limits.ChangedSince(c.Next(now, o.limits.Revision()))
 }
 
 // MergeLimits adds the request rates that another entry knows.
--- a/internal/server/isolation.go
+++ b/internal/server/isolation.go
@@ -4,22 +4,17 @@
 	"strings"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/differ"
 	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/isolator"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
 
-// fullEvidenceInterval is how often all evidence is sent to the other entries and not only
-// what is new, because a message can be lost.
-const fullEvidenceInterval = time.Second
-
-// evidenceState is what a process keeps to exchange evidence about requests that crash
-// backend servers. Only stepIsolation uses it.
+// evidenceState tells what of the evidence about requests that crash backend servers, and of
+// the request rates that servers name, is sent to the other entries next. Only stepIsolation
+// uses it.
 type evidenceState struct {
-	sentRevision uint64
-	// sentLimits is the same as sentRevision for the request rates that servers name.
-	sentLimits uint64
-	lastFullAt time.Time
+	evidence, limits differ.Cursor
 }
 
 // stepIsolation decides which requests are kept from backend servers, and sends the
@@ -29,15 +24,9 @@
 	for _, c := range s.relayer.StepIsolation(now) {
 		s.logIsolation(c)
 	}
-	st := &s.evidence
-	since, limitsSince := st.sentRevision, st.sentLimits
-	if now.Sub(st.lastFullAt) >= fullEvidenceInterval {
-		since, limitsSince, st.lastFullAt = 0, 0, now
-	}
-	evidence, revision := s.relayer.EvidenceSince(since)
 	s.relayer.Owner.ExpireLimits(now, s.locator.GroupIDs())
-	limits, limitsRevision := s.relayer.Owner.LimitsSince(limitsSince)
-	st.sentRevision, st.sentLimits = revision, limitsRevision
+	evidence := s.relayer.NextEvidence(now, &s.evidence.evidence)
+	limits := s.relayer.Owner.NextLimits(now, &s.evidence.limits)
 	if len(evidence)+len(limits) == 0 {
 		return
 	}
