throttler: wait no longer for reports of permits than they live

Callers of a server with a limit saw fewer places than it names for some seconds after a front had died: the permits that it held counted as unused for 7 s. Now for their lifetime and 1 s.

--- a/internal/throttler/allocator.go
+++ b/internal/throttler/allocator.go
@@ -26,9 +26,9 @@
 	maxRareLifetime = 5 * time.Second
 	// fetchTimeout is how long a permit waits for its front to fetch it.
 	fetchTimeout = 500 * time.Millisecond
-	// reportTimeout is how long an Allocator waits for a report about fetched permits. Then
-	// they count as used.
-	reportTimeout = 7 * time.Second
+	// reportDelay is how long after its lifetime a permit is reported at the latest. Then it
+	// counts as used.
+	reportDelay = time.Second
 	// minRate is the lowest rate for which permits are issued, all fronts together. Requests
 	// that come so rarely show whether a lower limit has ended.
 	minRate = Rate(0.1)
@@ -171,7 +171,7 @@
 			acc.takeBack(h.pending)
 			h.pending = 0
 		}
-		if h.held > 0 && now.Sub(h.fetchedAt) > reportTimeout {
+		if h.held > 0 && now.Sub(h.fetchedAt) > acc.lifetime()+reportDelay {
 			h.held = 0
 		}
 		if _, weighted := weights[vm]; !weighted && h.pending == 0 && h.held == 0 {
--- a/internal/throttler/permits_test.go
+++ b/internal/throttler/permits_test.go
@@ -169,3 +169,30 @@
 		t.Errorf("8 fronts with two servers of 4 a second: %s", got)
 	}
 }
+
+// TestPermitsOfLostFrontAreReplaced guards against servers that get less than they name because
+// a front that has died holds permits.
+func TestPermitsOfLostFrontAreReplaced(t *testing.T) {
+	a := newTestAllocator()
+	weights := map[identifier.VM]float64{"lost": 1, "live": 1}
+	got, held := 0, map[int]int{}
+	for ms := 0; ms < 10000; ms += 50 {
+		if ms == 2000 {
+			delete(weights, "lost")
+		}
+		a.Advance(at(ms), "s", 2, 1, weights)
+		if ms < 2000 {
+			a.Fetch(at(ms), "lost")
+		}
+		for _, g := range a.Fetch(at(ms), "live") {
+			held[ms+1200] += g.Permits
+			if ms > 5000 {
+				got += g.Permits
+			}
+		}
+		a.Report("live", PermitReport{Server: "s", Used: held[ms]})
+	}
+	if got < 9 {
+		t.Errorf("in the last 5 s of a rate of 2 the front that is left got %d permits", got)
+	}
+}
