--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -41,12 +41,12 @@
 	address        string
 	// avgDuration is a moving average of the duration of a request.
 	avgDuration time.Duration
-	// limit is what is known of the request rate that the backend server names, and bucket
-	// keeps the requests of this owner to it. wake admits waiting requests when the rate
-	// allows the next one.
-	limit  *throttler.Limit
-	bucket throttler.Bucket
-	wake   *time.Timer
+	// namedLimit is the request rate that the backend server names, nil if it names none.
+	// bucket keeps the requests of this owner to it, and wake admits waiting requests when
+	// it allows the next one.
+	namedLimit *throttler.Limit
+	bucket     throttler.Bucket
+	wake       *time.Timer
 }
 
 // averageWeight is the weight of the old value in the moving average of avgDuration.
@@ -67,21 +67,21 @@
 // rateLimit returns the request rate that this owner keeps, and false if there is none. Two
 // owners use half of the rate each.
 func (c *admissionController) rateLimit() (throttler.Rate, bool) {
-	if c.limit == nil || !c.limit.InForce() {
+	if c.namedLimit == nil || !c.namedLimit.InForce() {
 		return 0, false
 	}
-	r := throttler.PermitRate(c.limit.Rate)
+	r := throttler.PermitRate(c.namedLimit.Rate)
 	if c.ownership == locator.OwnershipUncertain && c.mayHaveOtherOwner(time.Now()) {
 		r /= 2
 	}
 	return r, true
 }
 
-// setLimit replaces what is known of the request rate that the backend server names.
-func (c *admissionController) setLimit(l *throttler.Limit) {
+// setNamedLimit replaces what is known of the request rate that the backend server names.
+func (c *admissionController) setNamedLimit(l *throttler.Limit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit = l
+	c.namedLimit = l
 	c.admitWaiting()
 }
 
@@ -343,7 +343,7 @@
 	defer c.mu.Unlock()
 	s := GroupStatus{Group: id, Running: c.running, Waiting: c.queue.Len(), Limit: c.reportedLimit()}
 	if _, limited := c.rateLimit(); limited {
-		s.PerSecond, s.PerSecondNamedAgo = c.limit.Rate, time.Since(c.limit.NamedAt)
+		s.PerSecond, s.PerSecondNamedAgo = c.namedLimit.Rate, time.Since(c.namedLimit.NamedAt)
 	}
 	return s
 }
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -33,7 +33,7 @@
 	limit := o.limitOf(id, inc)
 	o.mu.Unlock()
 	if limit != nil || change != throttler.Unchanged {
-		c.setLimit(limit)
+		c.setNamedLimit(limit)
 	}
 	o.reportChange(id, change, limit)
 }
@@ -78,7 +78,7 @@
 		limit, c := o.limitOf(id, l.Incarnation), o.controllers[id]
 		o.mu.Unlock()
 		if change != throttler.Unchanged && c != nil {
-			c.setLimit(limit)
+			c.setNamedLimit(limit)
 		}
 		o.reportChange(id, change, limit)
 	}
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -128,7 +128,7 @@
 		o.controllers[id] = c
 	}
 	c.update(ownership, identifier.Incarnation(view.GetIncarnation()), view.GetAddress(), view.GetColdConcurrency(), view.GetConcurrency())
-	c.setLimit(o.limitOf(id, identifier.Incarnation(view.GetIncarnation())))
+	c.setNamedLimit(o.limitOf(id, identifier.Incarnation(view.GetIncarnation())))
 	return c
 }
 
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -4,6 +4,10 @@
 // processes together. A Ledger holds what is known of these limits. It is exchanged between
 // processes, so that one answer is enough for all of them.
 //
+// Where several processes send requests to a server, each request needs a permit. An
+// Allocator issues the permits of one core process, and an Allowance holds those of one
+// front. Where a single process sends all requests, a Bucket is enough.
+//
 // The package does no I/O and reads no clock.
 package throttler
 
