--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -296,7 +296,7 @@
 func (c *Coordinator) runLoop(ctx context.Context) {
 	ticker := time.NewTicker(loopInterval)
 	defer ticker.Stop()
-	var lastHello, lastReport time.Time
+	var lastIssue, lastHello, lastReport time.Time
 	// Each channel comes with the state that was applied last, so that no change
 	// in between is missed.
 	stateChanged := c.applyCatalogState()
@@ -310,7 +310,10 @@
 		}
 		now := time.Now()
 		c.expireServers(now)
-		c.issuePermits(now)
+		if now.Sub(lastIssue) >= issueInterval {
+			lastIssue = now
+			c.issuePermits(now)
+		}
 		if now.Sub(lastHello) >= helloInterval {
 			lastHello = now
 			c.sendHellos(now)
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -22,6 +22,8 @@
 	// minBaseDemand requests in a second, so that it can begin.
 	baseDemandShare = 0.1
 	minBaseDemand   = 0.05
+	// issueInterval is how often permits are issued. It is a fraction of their lifetime.
+	issueInterval = 100 * time.Millisecond
 )
 
 // limits is what a core process knows of the request rates that servers name, and its
@@ -96,12 +98,17 @@
 	l := &c.limits
 	l.ledger.Expire(now, func(id identifier.Server) bool { return c.registry.Get(id) != nil })
 	l.weights = map[identifier.Server]float64{}
+	demands := map[demandKey]map[identifier.VM]float64{}
 	for _, limit := range l.ledger.Limits() {
 		s := c.registry.Get(limit.Server)
 		if s == nil || s.Incarnation != uint64(limit.Incarnation) {
 			continue
 		}
-		weights, own := l.allocator.Weights(s.ID, c.frontDemands(now, demandKeyOf(s)))
+		k := demandKeyOf(s)
+		if demands[k] == nil {
+			demands[k] = c.frontDemands(now, k)
+		}
+		weights, own := l.allocator.Weights(s.ID, demands[k])
 		l.weights[s.ID] = own
 		if own > 0 {
 			part := own / (own + c.otherWeights(now, s.ID, own, len(weights), confirmed))
--- a/internal/throttler/allocator.go
+++ b/internal/throttler/allocator.go
@@ -126,11 +126,10 @@
 	acc.tokens += float64(acc.rate) * now.Sub(acc.advancedAt).Seconds()
 	acc.advancedAt = now
 	acc.dropStale(now, weights)
-	for _, vm := range slices.Sorted(maps.Keys(weights)) {
+	for vm := range weights {
 		if acc.holders[vm] == nil {
-			// A random turn keeps the permits of several servers from going to the same
-			// front.
-			acc.holders[vm] = &holder{usage: 1, credit: a.Rand.Float64()}
+			a.addHolders(acc, weights)
+			break
 		}
 	}
 	for acc.tokens >= 1 && acc.outstanding() < acc.maxOutstanding() {
@@ -140,6 +139,16 @@
 	acc.tokens = min(acc.tokens, 1)
 }
 
+// addHolders adds the fronts that have a weight and no permits so far. A random turn keeps the
+// permits of several servers from going to the same front.
+func (a *Allocator) addHolders(acc *account, weights map[identifier.VM]float64) {
+	for _, vm := range slices.Sorted(maps.Keys(weights)) {
+		if acc.holders[vm] == nil {
+			acc.holders[vm] = &holder{usage: 1, credit: a.Rand.Float64()}
+		}
+	}
+}
+
 // maxOutstanding returns how many permits may be unused at a time. It need not be a whole
 // number.
 func (acc *account) maxOutstanding() float64 {
