forwarder: take the permit for a stream's next server before its present one is left

Callers saw streams that broke off: all streams at a stalled server were taken from it because another one had a permit, although only one of them could use it. Found by reading the change once more. Cause: whether a server could take a stream was asked without taking the permit, and the stream was interrupted on the answer.

Now the permit is taken together with the retry, before the stream is interrupted, and used by the next send; the other streams stay and end where they are.

--- a/internal/chooser/limits.go
+++ b/internal/chooser/limits.go
@@ -52,12 +52,11 @@
 	return next.Sub(now)
 }
 
-// TakePermit uses up a permit for a request that is to be sent to a server, if the server
-// has named a rate.
-func (c *Chooser) TakePermit(now time.Time, s *tracker.Server) {
-	if l := c.limitOf(s); l != nil {
-		c.Allowance.Take(now, l)
-	}
+// TakePermit uses up a permit for a request that is to be sent to a server, and reports
+// whether it took one. A server that has named no rate needs none.
+func (c *Chooser) TakePermit(now time.Time, s *tracker.Server) bool {
+	l := c.limitOf(s)
+	return l != nil && c.Allowance.Take(now, l)
 }
 
 // RecordRefusal records that the request of the last call of Choose is refused or given up
--- a/internal/forwarder/backend_test.go
+++ b/internal/forwarder/backend_test.go
@@ -23,6 +23,7 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/piper"
 	"trefoilhead.org/trefoilhead/internal/pooler"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
 
@@ -45,7 +46,11 @@
 }
 
 func (testDialect) ParseResponse(h http.Header) ResponseInfo {
-	return ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	info := ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		info.Limit = throttler.Statement{Kind: throttler.NamedLimit, Rate: throttler.Rate(rate)}
+	}
+	return info
 }
 
 // backend is a backend server whose responses a test writes byte by byte. It records
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -47,6 +47,9 @@
 	// retryReserved is set while a retry has been taken from the budget but not been
 	// made yet. It is guarded by the Forwarder's mu.
 	retryReserved bool
+	// reserved is the choice for the next send if a permit has been taken for it but not
+	// been used yet. It is guarded by the Forwarder's mu.
+	reserved chooser.Choice
 	// cachedTraits is set by the first call of traits. isTrial is set if an isolation
 	// covers the request and it is sent all the same. crashedServer is the server that
 	// broke off an answer to this request at its start.
@@ -197,6 +200,9 @@
 	now := time.Now()
 	q.f.mu.Lock()
 	defer q.f.mu.Unlock()
+	if c := q.takeReserved(); c.Server != nil {
+		return c
+	}
 	req := q.serverRequest(now, allowLate)
 	c := q.f.chooser.Choose(now, req)
 	if c.Server != nil {
@@ -207,6 +213,32 @@
 	return q.f.chooser.RecordRefusal(now, req, c)
 }
 
+// takeReserved returns the choice that was reserved for the next send, or one without a
+// server if there is none or the request has been sent to that server meanwhile. The caller
+// holds mu.
+func (q *request) takeReserved() chooser.Choice {
+	c := q.reserved
+	q.reserved = chooser.Choice{}
+	if c.Server != nil && slices.Contains(q.tried, c.Server.ID) {
+		q.f.chooser.Allowance.Return(c.Server.ID)
+		return chooser.Choice{}
+	}
+	return c
+}
+
+// reserveSend reserves the request's next retry, and the permit for it if the chosen server
+// has named a rate: other requests could use up the permit before this one is sent again. It
+// reports whether it did. The caller holds mu.
+func (q *request) reserveSend(now time.Time, c chooser.Choice) bool {
+	if c.Server == nil || !q.reserveRetry(now) {
+		return false
+	}
+	if q.reserved.Server == nil && q.f.chooser.TakePermit(now, c.Server) {
+		q.reserved = c
+	}
+	return true
+}
+
 // serverRequest returns what the chooser needs to know of the request.
 func (q *request) serverRequest(now time.Time, allowLate bool) chooser.Request {
 	latencyBudget := q.route.LatencyObjective - now.Sub(q.receivedAt)
@@ -444,7 +476,7 @@
 	q.f.mu.Lock()
 	defer q.f.mu.Unlock()
 	now := time.Now()
-	return q.f.chooser.Choose(now, q.serverRequest(now, true)).Server != nil && q.reserveRetry(now)
+	return q.reserveSend(now, q.f.chooser.Choose(now, q.serverRequest(now, true)))
 }
 
 // writeResponseHeader forwards the status and headers of a response.
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -99,7 +99,10 @@
 		req.Model = q.info.Model
 	}
 	c := q.f.chooser.Choose(now, req)
-	return c.Server != nil && (!early || x.meetsObjective(now, c.PredictedDelay)) && q.reserveRetry(now)
+	if c.Server == nil || early && !x.meetsObjective(now, c.PredictedDelay) {
+		return false
+	}
+	return q.reserveSend(now, c)
 }
 
 // meetsObjective reports whether the next event is on time if another server sends
