fronter: keep reports about permits over several failed pulls

Servers with a limit could get less than they name for some seconds while core processes fail: the reports of a failed pull were dropped if the next one, to another core process, failed as well, and the core process then took the permits for unused until they timed out. Found by reading. TestReportsOutliveFailedPulls: 0 reports kept of 1 before, 1 now, as for demands.

--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -153,8 +153,7 @@
 			_ = level.Info(f.Logger).Log("msg", "pull from core process failed; trying the other core processes first", "core", core, "err", err)
 		}
 		st.failedPulls = min(st.failedPulls+1, maxFirstPullDoublings)
-		st.unsentDemands = append(st.unsentDemands, p.GetDemands()...)
-		st.unsentPermits = p.GetPermitReports()
+		st.keepUnsent(p)
 		st.coreLost = st.coreLost || core == st.core
 		return false
 	}
@@ -180,6 +179,12 @@
 	return !u.GetUnconfirmed() && time.Duration(u.GetConfirmedAgoMs())*time.Millisecond < maxCoreStateAge
 }
 
+// keepUnsent keeps what a failed pull was to report once, for the next one.
+func (st *pullState) keepUnsent(p *peerv1.FrontPull) {
+	st.unsentDemands = append(st.unsentDemands, p.GetDemands()...)
+	st.unsentPermits = append(st.unsentPermits, p.GetPermitReports()...)
+}
+
 // pullWait returns how long a core process may hold its reply while nothing has changed,
 // in a system with that many fronts.
 func pullWait(fronts int, sameDomain bool) time.Duration {
--- a/internal/fronter/pull_test.go
+++ b/internal/fronter/pull_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
 
 // TestPullsFromOtherDomainsAreRare guards against the traffic between failure domains of
@@ -22,3 +24,16 @@
 		}
 	}
 }
+
+// TestReportsOutliveFailedPulls guards against reports that are lost when the pull after a
+// failed one goes to another core process, carries none, and fails too.
+func TestReportsOutliveFailedPulls(t *testing.T) {
+	var st pullState
+	st.keepUnsent(&peerv1.FrontPull{
+		Demands: []*peerv1.ModelDemand{{Service: "s", Requests: 1}}, PermitReports: []*peerv1.PermitReport{{Id: "a", Used: 1}},
+	})
+	st.keepUnsent(&peerv1.FrontPull{})
+	if len(st.unsentDemands) != 1 || len(st.unsentPermits) != 1 {
+		t.Errorf("kept %d demands and %d reports about permits, want 1 each", len(st.unsentDemands), len(st.unsentPermits))
+	}
+}
