--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -1,9 +1,7 @@
 package relayer
 
 import (
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/differ"
@@ -29,7 +27,7 @@
 	inc := c.incarnation
 	c.mu.Unlock()
 	o.mu.Lock()
-	change := o.limits.Observe(time.Now(), identifier.Server(id), inc, sentAt, parseRateLimit(h))
+	change := o.limits.Observe(time.Now(), identifier.Server(id), inc, sentAt, throttler.NewStatement(h.Values(refuser.HeaderRateLimit)))
 	limit := o.limitOf(id, inc)
 	o.mu.Unlock()
 	if limit != nil || change != throttler.Unchanged {
@@ -38,19 +36,6 @@
 	o.reportChange(id, change, limit)
 }
 
-// parseRateLimit reads the request rate that a backend server names.
-func parseRateLimit(h http.Header) throttler.Statement {
-	value := h.Get(refuser.HeaderRateLimit)
-	if value == "" {
-		return throttler.Statement{}
-	}
-	rate, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
-		return throttler.Statement{Kind: throttler.UnreadableLimit}
-	}
-	return throttler.Statement{Kind: throttler.NamedLimit, Rate: throttler.Rate(rate)}
-}
-
 func (o *Owner) reportChange(id identifier.Group, change throttler.Change, l *throttler.Limit) {
 	if change == throttler.Unchanged || o.OnLimitChange == nil {
 		return
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -12,6 +12,9 @@
 package throttler
 
 import (
+	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/identifier"
@@ -41,6 +44,19 @@
 	Rate Rate
 }
 
+// NewStatement returns the statement in the values of the header in which servers name their
+// rate, a number of requests a second.
+func NewStatement(values []string) Statement {
+	if len(values) == 0 {
+		return Statement{}
+	}
+	rate, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		return Statement{Kind: UnreadableLimit}
+	}
+	return Statement{Kind: NamedLimit, Rate: Rate(rate)}
+}
+
 // endMargin is how long after a limit was last named a request must have been sent for its
 // answer to end the limit. It covers the delay of reports from other processes, whose times
 // are late by it.
