relayer: count only requests that reach the server, and ask which incarnation named a rate

In serve a server with a rate got less than it names after failed connections: each used up a place (TestUnreachableServerKeepsItsRate failed without the change). And an answer that came while its server restarted gave its rate to the new incarnation, since that was looked up after the answer; this was found by reading and could not be shown on the old code, whose function takes none.

--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -85,6 +85,23 @@
 	c.admitWaiting()
 }
 
+// returnRate takes back what tryTakeSlot counted for a request that did not reach the backend
+// server.
+func (c *admissionController) returnRate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, limited := c.rateLimit(); limited {
+		c.bucket.Return()
+	}
+}
+
+// currentIncarnation returns the incarnation of the backend server as of the last view.
+func (c *admissionController) currentIncarnation() identifier.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.incarnation
+}
+
 // mayHaveOtherOwner reports whether another owner may be sending requests to the
 // group. Two owners with OwnershipUncertain use half of the limit each. A single one
 // returns to the full limit when the backend server has announced no requests of
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -22,15 +22,13 @@
 }
 
 // observeLimit records what an answer says about the request rate of its server.
-func (o *Owner) observeLimit(id identifier.Group, c *admissionController, sentAt time.Time, h http.Header) {
-	c.mu.Lock()
-	inc := c.incarnation
-	c.mu.Unlock()
+// The server had the given incarnation when the request was sent.
+func (o *Owner) observeLimit(id identifier.Group, c *admissionController, inc identifier.Incarnation, sentAt time.Time, h http.Header) {
 	o.mu.Lock()
 	change := o.limits.Observe(time.Now(), identifier.Server(id), inc, sentAt, throttler.NewStatement(h.Values(refuser.HeaderRateLimit)))
 	limit := o.limitOf(id, inc)
 	o.mu.Unlock()
-	if limit != nil || change != throttler.Unchanged {
+	if (limit != nil || change != throttler.Unchanged) && inc == c.currentIncarnation() {
 		c.setNamedLimit(limit)
 	}
 	o.reportChange(id, change, limit)
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -189,7 +189,7 @@
 		c.releaseSlot(RequestResult{Inconclusive: true})
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, err.Error())
 	}
-	startTime := time.Now()
+	startTime, incarnation := time.Now(), c.currentIncarnation()
 	watchdog := time.AfterFunc(o.Limits.FirstTokenTimeout, cancel)
 	resp, err := o.Client.Do(req)
 	if err != nil {
@@ -197,7 +197,7 @@
 		cancel()
 		return nil, o.handleSendError(ctx, c, gotConn.Load(), timedOut, err)
 	}
-	o.observeLimit(id, c, startTime, resp.Header)
+	o.observeLimit(id, c, incarnation, startTime, resp.Header)
 	if refusal := parseServerRefusal(resp); refusal != nil {
 		watchdog.Stop()
 		cancel()
@@ -245,6 +245,7 @@
 
 func (o *Owner) handleSendError(ctx context.Context, c *admissionController, gotConn, timedOut bool, err error) *refuser.Refusal {
 	if !gotConn {
+		c.returnRate()
 		c.releaseSlot(RequestResult{Failed: true, Inconclusive: true})
 		return refuser.New(refuser.BackendUnreachable, refuser.NotRun, "the backend server cannot be reached").WithRetryAfter(time.Second)
 	}
