relayer, coordinator: check a refusal in a test, send test requests in one place

The linter found a result that's test did not look at; it is checked now. The callers of the coordinator's tests built requests in two places.

--- a/internal/coordinator/crash_callers_test.go
+++ b/internal/coordinator/crash_callers_test.go
@@ -72,16 +72,7 @@
 // request returns the status of the response, whether an event arrived, and whether the
 // request was refused because of an isolation.
 func (c *crashCallers) request(front, id, model, team string, parts []string) (status int, began, isolated bool) {
-	r, err := http.NewRequest("POST", "http://"+front+":80/"+model+"/x", strings.NewReader("ask "+id))
-	if err != nil {
-		return 0, false, false
-	}
-	r.Host = "h"
-	r.Header.Set("Id", id)
-	r.Header.Set("Key", "key-"+team)
-	r.Header.Set("Model", model)
-	r.Header.Set("Parts", strings.Join(append(slices.Clone(parts), "own-"+id), ","))
-	resp, err := c.client.Do(r)
+	resp, err := c.do("POST", front, model, id, team, "Model", model, "Parts", strings.Join(append(slices.Clone(parts), "own-"+id), ","))
 	if err != nil {
 		return 0, false, false
 	}
@@ -92,6 +83,22 @@
 	return resp.StatusCode, ok && len(body) > 0, !ok && strings.HasPrefix(string(body), "isolated")
 }
 
+// do sends a request of a team for a model or the plain service to a front. header holds names
+// and values in turn.
+func (c *crashCallers) do(method, front, service, id, team string, header ...string) (*http.Response, error) {
+	r, err := http.NewRequest(method, "http://"+front+":80/"+service+"/x", strings.NewReader("ask "+id))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = "h"
+	r.Header.Set("Id", id)
+	r.Header.Set("Key", "key-"+team)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return c.client.Do(r)
+}
+
 // sendMixed sends sound requests of all models, teams and first parts for a while, and
 // for each of them, with the given probability, one with one of the crashing parts. The
 // latter share the callers and other parts of the former.
--- a/internal/coordinator/limit_harness_test.go
+++ b/internal/coordinator/limit_harness_test.go
@@ -112,14 +112,7 @@
 	front, id := names[c.random.IntN(len(names))], fmt.Sprintf("p%d", c.next)
 	c.wg.Go(func() {
 		call := plainCall{at: time.Now()}
-		r, err := http.NewRequest("GET", "http://"+front+":80/"+plainService+"/x", http.NoBody)
-		if err != nil {
-			return
-		}
-		r.Host = "h"
-		r.Header.Set("Id", id)
-		r.Header.Set("Key", "key-"+crashTeams[0])
-		resp, err := c.client.Do(r)
+		resp, err := c.do("GET", front, plainService, id, crashTeams[0])
 		if err == nil {
 			body, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -35,7 +35,9 @@
 	if !c.tryTakeSlot() || c.tryTakeSlot() {
 		t.Fatal("a rate of 0.5 does not allow one request at once")
 	}
-	(&Owner{}).handleSendError(context.Background(), c, false, false, errors.New("refused"))
+	if r := (&Owner{}).handleSendError(context.Background(), c, false, false, errors.New("refused")); r.Statement != refuser.NotRun {
+		t.Errorf("the refusal says %s", r.Statement)
+	}
 	if !c.tryTakeSlot() {
 		t.Error("a request that did not reach the server counts")
 	}
