fronter: forget fronts that have left after 13 s instead of 20 s

Callers saw nothing; for those seconds each front kept to a smaller part of the retry slack, the connections and the rate of cold servers than it may use.

Cause: since a front divides by the highest number of fronts that it heard within 10 s, on top of the 10 s for which a core process counts a front that has gone to another. A front that changes its core process 1.7 s after the partition therefore counted as two until 20 s after that.

The front's part covers only the time in which no core process counts a front whose core process restarts; young core processes rely on what fronts report for the rest. It is 3 s now.

--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -28,9 +28,9 @@
 	// frontReportTTL is how long the loads and suspicions that a front reported are
 	// taken into account.
 	frontReportTTL = 1500 * time.Millisecond
-	// FrontCountTTL is how long after its last pull a front counts among those
+	// frontCountTTL is how long after its last pull a front counts among those
 	// that share retry budgets, connection limits and the rate of cold servers.
-	FrontCountTTL = 10 * time.Second
+	frontCountTTL = 10 * time.Second
 	// pullBatchDelay is how long a reply with changes is delayed so that it includes
 	// further changes.
 	pullBatchDelay = 15 * time.Millisecond
@@ -163,9 +163,9 @@
 }
 
 // countLocalFronts counts the fronts that pull from this process, and removes
-// those whose last pull is older than FrontCountTTL. The caller must hold mu.
+// those whose last pull is older than frontCountTTL. The caller must hold mu.
 func (c *Coordinator) countLocalFronts(now time.Time) int {
-	maps.DeleteFunc(c.fronts, func(_ identifier.VM, f *front) bool { return now.Sub(f.lastPullAt) > FrontCountTTL })
+	maps.DeleteFunc(c.fronts, func(_ identifier.VM, f *front) bool { return now.Sub(f.lastPullAt) > frontCountTTL })
 	return len(c.fronts)
 }
 
@@ -174,11 +174,11 @@
 func (c *Coordinator) countAllFronts(now time.Time) int {
 	n := c.countLocalFronts(now)
 	for _, p := range c.peers {
-		if now.Sub(p.lastHelloAt) <= FrontCountTTL {
+		if now.Sub(p.lastHelloAt) <= frontCountTTL {
 			n += int(p.lastHello.GetFronts())
 		}
 	}
-	if now.Sub(c.startedAt) < FrontCountTTL {
+	if now.Sub(c.startedAt) < frontCountTTL {
 		n = max(n, c.reportedFronts)
 	}
 	return n
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -167,7 +167,7 @@
 	f.seedPeers = coordinator.SeedPeers(set)
 	f.state.avoidUntil = map[identifier.VM]time.Time{}
 	f.state.unlistedSince = map[identifier.Server]time.Time{}
-	f.state.frontCounts.TTL = coordinator.FrontCountTTL
+	f.state.frontCounts.TTL = moveTimeout
 	f.linker = &linker.Linker{
 		VM: f.self, PeerKey: coordinator.PeerKey, AllowUnlistedPeers: true, Scheme: "ws", Dialer: f.Network, Handler: peerCallRejecter{},
 		Logger: f.Logger, PingInterval: linkPingInterval, SilenceTimeout: linkSilenceTimeout,
--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -41,6 +41,9 @@
 	// coreAvoidance is how long a core process is avoided after a failed pull or one
 	// that showed that its state is stale or unconfirmed.
 	coreAvoidance = 3 * time.Second
+	// moveTimeout is how long a front whose core process restarts may be counted by none,
+	// until it has pulled from another one and that one has told the others.
+	moveTimeout = 3 * time.Second
 	// maxCoreStateAge is the time since a quorum confirmed a core process's state
 	// from which this front switches to another core process.
 	maxCoreStateAge = 1500 * time.Millisecond
