chooser, throttler: do not save up requests for cold servers

A server that has just started could get up to 52 requests in a second where all fronts together may send 26: if a service was quiet and then got many requests at once, or its other servers were lost, each of 79 fronts sent the one request that it had saved up. A cold server crashes under that.

Cause: the bound is one over all fronts, and each kept its part by a time before which it sends nothing. Nothing limited how many fronts had passed that time.

A front's turn now ends 0.5 s after it began, and the interval accounts for the turns that are open when a second begins (throttler.Slots, which fronts without core processes use for limits too). The deviation is bounded by the number of fronts as well: few fronts send more than before.

Permits were weighed and not tried: they come with the next pull, late for a phase of 3 s.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -102,10 +102,10 @@
 	// group membership that the failure counts and suspectUntil belong to.
 	incarnation uint64
 	groupEpoch  uint64
-	// nextColdSendAt is the earliest time of this front's next request while the
-	// server is cold, coldUntil the end of the cold start that it was set for.
-	nextColdSendAt time.Time
-	coldUntil      time.Time
+	// coldSlots are the times of this front's requests while the server is cold, and
+	// coldUntil is the end of the cold start that they belong to.
+	coldSlots throttler.Slots
+	coldUntil time.Time
 }
 
 // Chooser selects servers for one front and keeps the front's view of them.
@@ -393,8 +393,8 @@
 	st := c.stateOf(id)
 	st.ownRunning++
 	st.ownPendingTokens += promptTokens
-	if svc := c.serviceOf(id); svc != nil && svc.ColdRequestsPerSecond > 0 {
-		st.nextColdSendAt = now.Add(c.coldSendInterval(svc))
+	if svc := c.serviceOf(id); svc != nil && svc.ColdRequestsPerSecond > 0 && now.Before(st.coldUntil) {
+		st.coldSlots.Take(c.coldSendInterval(svc))
 	}
 }
 
--- a/internal/chooser/cold.go
+++ b/internal/chooser/cold.go
@@ -13,6 +13,14 @@
 	// coldEndTolerance is how far apart two announced ends of the same cold start
 	// may be. A larger difference means a new cold start.
 	coldEndTolerance = time.Second
+	// coldSlotWindow is how long a front may use its turn to send a request to a cold
+	// server.
+	coldSlotWindow = 500 * time.Millisecond
+	// coldRatePeriod is the time in which the requests to a cold server are counted.
+	coldRatePeriod = time.Second
+	// coldDeviations is the number of standard deviations by which the requests in one
+	// period may exceed their mean.
+	coldDeviations = 3
 )
 
 // coldRateAllows reports whether this front's share of a cold server's request
@@ -22,25 +30,28 @@
 		return true
 	}
 	st := c.stateOf(s.ID)
+	interval := c.coldSendInterval(svc)
+	window := min(coldSlotWindow, interval)
 	if s.ColdUntil.Sub(st.coldUntil) > coldEndTolerance {
-		// All fronts learn of the cold start at the same time. A random phase
-		// spreads their first requests.
-		phase := time.Duration(c.Rand.Int64N(int64(c.coldSendInterval(svc))))
-		st.nextColdSendAt = now.Add(phase)
+		// All fronts learn of the cold start at the same time. New random phases
+		// spread their first requests.
+		st.coldSlots.Begin(c.Rand, now.Add(-window), interval)
 	}
 	st.coldUntil = s.ColdUntil
-	return !now.Before(st.nextColdSendAt)
+	return st.coldSlots.IsOpen(now, c.Rand, interval, window)
 }
 
 // coldSendInterval returns the time between two requests of this front to a cold
 // server.
 func (c *Chooser) coldSendInterval(svc *cataloger.Service) time.Duration {
-	maxRate := svc.ColdRequestsPerSecond*max(c.ColdOvershoot, 1) + c.ColdSlack
-	// The fronts' phases are random, so at a mean rate of m some seconds get up to
-	// m plus deviations times the square root of m. The rate is set so that this
-	// sum equals maxRate.
-	const deviations = 3
-	sqrtRate := (math.Sqrt(deviations*deviations+4*maxRate) - deviations) / 2
-	rate := sqrtRate * sqrtRate / float64(max(c.FrontCount, 1))
-	return time.Duration(float64(time.Second) / rate)
+	fronts := float64(max(c.FrontCount, 1))
+	highest := svc.ColdRequestsPerSecond*max(c.ColdOvershoot, 1) + c.ColdSlack
+	// The fronts' phases are random, so the number of requests in a period varies. Its
+	// standard deviation is at most the root of the mean, and half the root of the number of
+	// fronts, because each front sends one of two numbers.
+	root := (math.Sqrt(coldDeviations*coldDeviations+4*highest) - coldDeviations) / 2
+	mean := max(root*root, highest-coldDeviations*math.Sqrt(fronts)/2)
+	// The mean includes the slots that are open when the period begins, at most one a front.
+	rate := max(mean/(coldRatePeriod+coldSlotWindow).Seconds(), mean-fronts)
+	return time.Duration(float64(time.Second) / rate * fronts)
 }
--- a/internal/throttler/allowance.go
+++ b/internal/throttler/allowance.go
@@ -34,8 +34,8 @@
 	rate Rate
 	// expiries holds when each permit expires, in ascending order.
 	expiries []time.Time
-	// nextSlotAt is when this front may send a request by itself.
-	nextSlotAt time.Time
+	// slots are when this front may send requests by itself.
+	slots      Slots
 	unreported PermitReport
 }
 
@@ -91,7 +91,7 @@
 		st.unreported.Used++
 		return true
 	}
-	st.nextSlotAt = st.nextSlotAt.Add(a.slotInterval(st))
+	st.slots.Take(a.slotInterval(st))
 	return true
 }
 
@@ -115,22 +115,18 @@
 	return time.Duration(float64(time.Second) / float64(PermitRate(st.rate)) * float64(max(a.Fronts, 1)))
 }
 
-// hasSlot reports whether this front may send a request without a permit. While it reaches
-// no core process, it may send one in each interval, at a random phase and within
-// permitLifetime of it.
+// hasSlot reports whether this front may send a request without a permit, because it reaches
+// no core process.
 func (a *Allowance) hasSlot(now time.Time, st *allowanceState) bool {
 	if now.Sub(a.contactAt) <= contactTimeout {
-		st.nextSlotAt = time.Time{}
+		st.slots.Reset()
 		return false
 	}
 	interval := a.slotInterval(st)
-	if st.nextSlotAt.IsZero() || st.nextSlotAt.Sub(now) > interval {
-		st.nextSlotAt = now.Add(time.Duration(a.Rand.Int64N(int64(interval))))
+	if !st.slots.HasBegun() {
+		st.slots.Begin(a.Rand, now, interval)
 	}
-	if missed := now.Sub(st.nextSlotAt) - permitLifetime; missed > 0 {
-		st.nextSlotAt = st.nextSlotAt.Add((missed/interval + 1) * interval)
-	}
-	return !now.Before(st.nextSlotAt)
+	return st.slots.IsOpen(now, a.Rand, interval, permitLifetime)
 }
 
 // RecordDenied records that a request was refused for lack of a permit.
