grouper: close a group again that a late open order has opened

A group could go on serving after its servers had been given up: if the core processes lost touch with it between its close and the leave order that follows, while an open order was still on its way, its head serves when they reach it again. The group is then taken back ("abandoned group serves again"), and at its next end it was removed at once, without a close order, because the close of the first end still counted. Its servers serve on in a group that nobody ends, an evacuation included, and form no other.

--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -274,6 +274,8 @@
 func (g *Grouper) endGroup(gr *group, cut bool, reason string) {
 	gr.info.Phase, gr.info.Reason, gr.phaseSince = PhaseEnding, reason, g.now
 	gr.cutRequests, gr.unansweredCloses = cut, 0
+	// A late open order may have been executed since an earlier end.
+	gr.headClosed, gr.headLeft = false, false
 	g.recordDecision("group is being closed", gr)
 	g.stepEnding(gr)
 }
