forwarder: do not count answers as served that could not be written

On-call engineers saw requests as served in log and metrics whose callers had received nothing, and their times in response_ms; and long answers as cut off by their server when the caller had left.

Cause: a failed write of an answer that is not a stream was dropped, and a failed write in the part of an answer that is passed on unbuffered was taken for a failed read.

TestCallerThatLeftIsNotCountedAsServed: before, 1 served for a caller that takes no byte, 1 cut for one that leaves after the first MiB; now none, both are "caller_left".

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -446,17 +446,26 @@
 		x.resp.ContentLength = int64(len(data))
 	}
 	q.writeResponseHeader(x)
-	_, writeErr := q.w.Write(data)
-	if writeErr == nil && len(data) == maxBufferedResponse {
-		_, err = io.Copy(q.w, x.resp.Body)
-	}
-	x.finish(err == nil, err == nil)
-	if err != nil {
+	caller := callerWriter{q.w}
+	_, err = caller.Write(data)
+	complete := len(data) < maxBufferedResponse
+	if err == nil && !complete {
+		_, err = io.Copy(caller, x.resp.Body)
+		complete = err == nil
+	}
+	x.finish(complete, complete)
+	var writeErr *callerWriteError
+	switch {
+	case err == nil:
+		q.recordOutcome(x.resp.StatusCode, outcomeServed)
+		return resultResponse
+	case errors.As(err, &writeErr):
+		q.recordOutcome(x.resp.StatusCode, outcomeCallerLeft)
+	default:
 		q.lastError = err.Error()
 		q.recordOutcome(x.resp.StatusCode, outcomeCut)
-		AbortResponse(q.r)
 	}
-	q.recordOutcome(x.resp.StatusCode, outcomeServed)
+	AbortResponse(q.r)
 	return resultResponse
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -105,6 +105,17 @@
 // the server.
 type callerWriteError struct{ error }
 
+// callerWriter writes to the caller. Its errors are callerWriteErrors.
+type callerWriter struct{ io.Writer }
+
+func (w callerWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if err != nil {
+		err = &callerWriteError{err}
+	}
+	return n, err
+}
+
 // forwardEvents forwards complete events as they arrive. It returns io.EOF at the
 // proper end of the stream.
 func (s *stream) forwardEvents(x *exchange) error {
@@ -141,8 +152,8 @@
 		if !s.headerSent {
 			s.writeHeader(x)
 		}
-		if _, err := s.q.w.Write(e.Data); err != nil {
-			return &callerWriteError{err}
+		if _, err := (callerWriter{s.q.w}).Write(e.Data); err != nil {
+			return err
 		}
 		wrote = true
 		if !e.IsComment {
