configurer, grouper: remove the setting stall_ms, which nothing reads

Operators could set bounds.stall_ms and expect it to change when a group with a lost member is given up; it changed nothing. A group is closed as soon as a member is known to be lost, and whether a head stalls is judged from its passes and the lag of reports (minStallTime), so there is nothing left for the setting to say.

--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -56,9 +56,6 @@
 	// ShutdownGraceS is the time after the signal to stop within which the process
 	// has to end.
 	ShutdownGraceS float64 `yaml:"grace_s" json:"grace_s"`
-	// StallTimeoutMS is how long the head of a group that lost a member stalls before
-	// it announces that the group is broken.
-	StallTimeoutMS int `yaml:"stall_ms" json:"stall_ms"`
 	// RetryRatio, RetryWindowS and RetrySlack limit the retries of each service over
 	// all processes: within any RetryWindowS there may be RetryRatio times the number
 	// of requests, plus RetrySlack.
@@ -80,9 +77,6 @@
 // ShutdownGrace returns ShutdownGraceS as a duration.
 func (b *NodeBounds) ShutdownGrace() time.Duration { return seconds(b.ShutdownGraceS) }
 
-// StallTimeout returns StallTimeoutMS as a duration.
-func (b *NodeBounds) StallTimeout() time.Duration { return milliseconds(b.StallTimeoutMS) }
-
 // RetryWindow returns RetryWindowS as a duration.
 func (b *NodeBounds) RetryWindow() time.Duration { return seconds(b.RetryWindowS) }
 
@@ -94,7 +88,6 @@
 const (
 	defaultHeartbeatIntervalMS = 1200
 	defaultShutdownGraceS      = 8
-	defaultStallTimeoutMS      = 6000
 	defaultRetryRatio          = 0.1
 	defaultRetryWindowS        = 10
 	defaultRetrySlack          = 20
@@ -132,7 +125,6 @@
 	b := &n.Bounds
 	fillDefault(&b.HeartbeatIntervalMS, defaultHeartbeatIntervalMS)
 	fillDefault(&b.ShutdownGraceS, defaultShutdownGraceS)
-	fillDefault(&b.StallTimeoutMS, defaultStallTimeoutMS)
 	fillDefault(&b.RetryRatio, defaultRetryRatio)
 	fillDefault(&b.RetryWindowS, defaultRetryWindowS)
 	fillDefault(&b.RetrySlack, defaultRetrySlack)
@@ -180,7 +172,7 @@
 		value float64
 	}{
 		{"heartbeat_ms", float64(b.HeartbeatIntervalMS)}, {"revocation_ms", float64(b.MaxRevocationDelayMS)},
-		{"grace_s", b.ShutdownGraceS}, {"stall_ms", float64(b.StallTimeoutMS)}, {"retry_ratio", b.RetryRatio},
+		{"grace_s", b.ShutdownGraceS}, {"retry_ratio", b.RetryRatio},
 		{"retry_window_s", b.RetryWindowS}, {"retry_slack", b.RetrySlack},
 		{"cold_overshoot", b.ColdOvershoot}, {"cold_slack", b.ColdSlack},
 	} {
--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -136,7 +136,6 @@
 			f.addEngine(fabric)
 		}
 	}
-	f.grouper.Policy.StallTimeout = stallTimeout
 	f.grouper.BeginTerm(f.now, f.term, true, f.now)
 	return f
 }
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -191,9 +191,6 @@
 	// announcements before it plans groups, and before it assumes that members of a
 	// group that have not announced themselves are missing.
 	LearningPeriod time.Duration
-	// StallTimeout is how long a head with a lost member stalls before it announces
-	// that its group is broken.
-	StallTimeout time.Duration
 	// HeartbeatInterval is the time between two heartbeats of one server.
 	HeartbeatInterval time.Duration
 }
@@ -201,7 +198,6 @@
 // Defaults of Policy, and bounds that are the same in every deployment.
 const (
 	defaultLearningPeriod    = 3 * time.Second
-	defaultStallTimeout      = 6 * time.Second
 	defaultHeartbeatInterval = 1200 * time.Millisecond
 	// orderRetryDelay is the delay before another order is sent to a server whose
 	// last one failed or got no response: about a round trip, a step of the engine
@@ -258,9 +254,6 @@
 	if p.LearningPeriod == 0 {
 		p.LearningPeriod = defaultLearningPeriod
 	}
-	if p.StallTimeout == 0 {
-		p.StallTimeout = defaultStallTimeout
-	}
 	if p.HeartbeatInterval == 0 {
 		p.HeartbeatInterval = defaultHeartbeatInterval
 	}
