coordinator, linker: count bytes by kind of message and between failure domains

On-call engineers could see the bytes of all messages together (state dump), not which kind of message they are nor how many cross failure domains, which is paid for.

Not measured: the cost of one count beside that of encoding and sending a message.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -212,6 +212,7 @@
 	}
 	c.driver.Init()
 	c.initMetrics()
+	c.linker.OnMessage = (&traffic{registry: c.Metrics, domain: set.FailureDomain}).record
 }
 
 // seedPeers returns the peer addresses of the configured seeds.
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -126,7 +126,7 @@
 func (k *link) readLoop(c *websocket.Conn) {
 	defer k.cancel()
 	for {
-		e, err := readEnvelope(k.ctx, k.linker, c, k.linker.SilenceTimeout)
+		e, err := readEnvelope(k.ctx, k.linker, k.peer, c, k.linker.SilenceTimeout)
 		if err != nil {
 			if k.ctx.Err() == nil {
 				k.linker.recordLinkLost(k, err)
@@ -165,7 +165,7 @@
 			}
 			e = &peerv1.Envelope{Ping: true}
 		}
-		if err := writeEnvelope(k.ctx, k.linker, c, e); err != nil {
+		if err := writeEnvelope(k.ctx, k.linker, k.peer, c, e); err != nil {
 			k.linker.recordLinkLost(k, err)
 			return
 		}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -87,6 +87,9 @@
 	TLS     *tls.Config
 	Handler Handler
 	Logger  log.Logger
+	// OnMessage, if set, is called for each message that is sent or was received, with its
+	// size in bytes. It has to return quickly and may be called concurrently.
+	OnMessage func(peer identifier.VM, e *peerv1.Envelope, bytes int, sent bool)
 	// PingInterval is the time between pings. A link on which nothing was received
 	// for SilenceTimeout is dropped; the timeout also limits opening a link and each
 	// write.
@@ -230,7 +233,7 @@
 func (l *Linker) serve(ctx context.Context, c *websocket.Conn, from identifier.VM) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &session{linker: l, conn: c, ctx: ctx, cancel: cancel, callSlots: make(chan struct{}, maxCallsPerSession)}
+	s := &session{linker: l, peer: from, conn: c, ctx: ctx, cancel: cancel, callSlots: make(chan struct{}, maxCallsPerSession)}
 	defer s.close()
 	if !l.addSession(s) {
 		return
@@ -244,7 +247,7 @@
 			s.write(&peerv1.Envelope{Ping: true, Answer: true})
 			continue
 		}
-		s.handle(from, e)
+		s.handle(e)
 	}
 }
 
@@ -275,6 +278,7 @@
 // session is the accepting end of a link.
 type session struct {
 	linker    *Linker
+	peer      identifier.VM
 	conn      *websocket.Conn
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -291,21 +295,21 @@
 }
 
 func (s *session) read(timeout time.Duration) (*peerv1.Envelope, error) {
-	return readEnvelope(s.ctx, s.linker, s.conn, timeout)
+	return readEnvelope(s.ctx, s.linker, s.peer, s.conn, timeout)
 }
 
 // handle handles one-way messages one after the other, in the order of arrival,
 // and each call in a goroutine of its own. It blocks while maxCallsPerSession
 // calls are running.
-func (s *session) handle(from identifier.VM, e *peerv1.Envelope) {
+func (s *session) handle(e *peerv1.Envelope) {
 	if e.Call == 0 {
-		_, _ = s.linker.Handler.HandlePeerMessage(s.ctx, from, e)
+		_, _ = s.linker.Handler.HandlePeerMessage(s.ctx, s.peer, e)
 		return
 	}
 	s.callSlots <- struct{}{}
 	s.wg.Go(func() {
 		defer func() { <-s.callSlots }()
-		reply, err := s.linker.Handler.HandlePeerMessage(s.ctx, from, e)
+		reply, err := s.linker.Handler.HandlePeerMessage(s.ctx, s.peer, e)
 		if reply == nil {
 			reply = &peerv1.Envelope{}
 		}
@@ -320,12 +324,12 @@
 func (s *session) write(e *peerv1.Envelope) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := writeEnvelope(s.ctx, s.linker, s.conn, e); err != nil {
+	if err := writeEnvelope(s.ctx, s.linker, s.peer, s.conn, e); err != nil {
 		s.cancel()
 	}
 }
 
-func readEnvelope(ctx context.Context, l *Linker, c *websocket.Conn, timeout time.Duration) (*peerv1.Envelope, error) {
+func readEnvelope(ctx context.Context, l *Linker, peer identifier.VM, c *websocket.Conn, timeout time.Duration) (*peerv1.Envelope, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, data, err := c.Read(ctx)
@@ -337,10 +341,13 @@
 	if err := cbor.Unmarshal(data, e); err != nil {
 		return nil, Error.Wrap(err)
 	}
+	if l.OnMessage != nil {
+		l.OnMessage(peer, e, len(data), false)
+	}
 	return e, nil
 }
 
-func writeEnvelope(ctx context.Context, l *Linker, c *websocket.Conn, e *peerv1.Envelope) error {
+func writeEnvelope(ctx context.Context, l *Linker, peer identifier.VM, c *websocket.Conn, e *peerv1.Envelope) error {
 	data, err := cbor.Marshal(e)
 	if err != nil {
 		return Error.Wrap(err)
@@ -348,6 +355,9 @@
 	ctx, cancel := context.WithTimeout(ctx, l.SilenceTimeout)
 	defer cancel()
 	l.updateCounts(func(c *Counts) { c.MessagesOut++; c.BytesOut += uint64(len(data)) })
+	if l.OnMessage != nil {
+		l.OnMessage(peer, e, len(data), true)
+	}
 	return Error.Wrap(c.Write(ctx, websocket.MessageBinary, data))
 }
 
