replicator: check histories in which disks are lost

Whether an acknowledged write survives the loss of a disk together with the power of all others was played by the system tests at chosen moments only.

--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -202,6 +202,10 @@
 	opCount   int
 	pending   []pendingOp
 	completed []porcupine.Operation
+	// unknown holds the operations whose leader has lost its disk.
+	unknown []pendingOp
+	// disks is nil if no disk is lost.
+	disks *diskLosses
 }
 
 func (h *history) run(steps int) {
@@ -209,24 +213,34 @@
 		h.step++
 		h.injectFault()
 		h.proposeRandomOp()
-		h.cluster.tick()
-		h.collectResults()
+		h.tick()
 	}
 	h.cluster.clearFaults()
+	if h.disks != nil {
+		h.disks.ended = true
+	}
 	for range 200 {
 		h.step++
-		h.cluster.tick()
-		h.collectResults()
+		h.tick()
 	}
 	// A pending write may have taken effect at any time, so it counts as one that
 	// completes after all others.
-	for _, o := range h.pending {
+	for _, o := range slices.Concat(h.pending, h.unknown) {
 		if o.op.write {
 			h.complete(o, 0, h.step+1)
 		}
 	}
 }
 
+func (h *history) tick() {
+	h.cluster.tick()
+	completed := len(h.completed)
+	h.collectResults()
+	if h.disks != nil {
+		h.disks.step(len(h.completed) > completed)
+	}
+}
+
 func (h *history) injectFault() {
 	ids := h.cluster.ids()
 	id := ids[h.rand.IntN(len(ids))]
@@ -274,6 +288,10 @@
 func (h *history) collectResults() {
 	h.pending = slices.DeleteFunc(h.pending, func(o pendingOp) bool {
 		v := h.cluster.voters[o.leader]
+		if v == nil {
+			h.unknown = append(h.unknown, o)
+			return true
+		}
 		if v.crashed || o.index <= v.appliedBase || o.index > v.appliedBase+Index(len(v.applied)) {
 			return false
 		}
