forwarder: do not count requests as stalled while their server reads a long prompt

A request with a long prompt at a group without other requests was interrupted and sent elsewhere, where the same could follow: the group was closed as stalled while it read the prompt.

Cause: each request that had been silent for 0.4 s counted as stalled, and a group that has sent nothing yet, or nothing for long, is closed on one of them. Nothing compared the silence with the time that the first event was predicted to take.

TestServerThatReadsLongPromptIsNotStalled: 1 s of reading counted as a stall after 1.2 s; now after 1.6 s.

--- a/internal/forwarder/backend_test.go
+++ b/internal/forwarder/backend_test.go
@@ -32,7 +32,8 @@
 
 func (testDialect) ParseRequest(h http.Header) RequestInfo {
 	ms, _ := strconv.Atoi(h.Get("Deadline"))
-	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond}
+	tokens, _ := strconv.Atoi(h.Get("Prompt"))
+	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), PromptTokens: tokens, Timeout: time.Duration(ms) * time.Millisecond}
 }
 
 func (testDialect) RewriteRequest(h http.Header, info ForwardInfo) {
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -23,6 +23,9 @@
 	// before the first event.
 	gapSilenceFactor        = 2
 	firstEventSilenceFactor = 2
+	// stallDelayFactor times the predicted time to the first event is the silence up to which
+	// a request without an event is no sign of a stall.
+	stallDelayFactor = 1.5
 )
 
 // StallCheckInterval is the interval between calls of MoveStalledRequests. It is
@@ -66,6 +69,16 @@
 	return max(minRequestSilence, firstEventSilenceFactor*r.LatencyObjective, x.predictedDelay+r.LatencyObjective)
 }
 
+// stallSilence returns the silence from which on the request counts as stalled. A server
+// that reads a long prompt and has no other request sends nothing meanwhile. The caller holds
+// mu.
+func (x *exchange) stallSilence() time.Duration {
+	if x.hasFirstEvent() {
+		return serverSilenceThreshold
+	}
+	return max(serverSilenceThreshold, time.Duration(stallDelayFactor*float64(x.predictedDelay)))
+}
+
 // abandon interrupts the exchange so that its request is moved to another server,
 // and reports whether it did. If early is set, the exchange has not been silent for
 // long enough by itself, but its server as a whole seems stalled. On this weaker
@@ -121,8 +134,8 @@
 	Server            identifier.Server
 	SinceLastResponse time.Duration `json:"AnsweredAgo"`
 	ConnectFailures   int           `json:"Unreachable"`
-	// StalledRequests counts the requests that have been silent for longer than
-	// serverSilenceThreshold.
+	// StalledRequests counts the requests that have been silent for so long that their
+	// server may be stalled.
 	StalledRequests int `json:"Stalled"`
 }
 
@@ -133,7 +146,7 @@
 	defer f.mu.Unlock()
 	stalled := map[identifier.Server]int{}
 	for x := range f.activeExchanges {
-		if now.Sub(x.lastEventAt) > serverSilenceThreshold {
+		if now.Sub(x.lastEventAt) > x.stallSilence() {
 			stalled[x.server]++
 		}
 	}
