coordinator: learn the failure domain of a peer from its own messages only

Bytes between failure domains were counted too low: a core process took the failure domain in the hello that it sent itself for that of the peer, if it had not heard of it before. Found by reading.

TestTrafficIsCountedByKindAndDomain, which sends a hello of its own first, fails without the change.

--- a/internal/coordinator/traffic.go
+++ b/internal/coordinator/traffic.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,7 +31,10 @@
 	}
 	kind := messageKind(e)
 	t.count(direction+"_"+kind, bytes)
-	if d := t.domainOf(peer, e); d != "" && d != t.domain {
+	if !sent {
+		t.learnDomain(peer, e)
+	}
+	if d := t.domainOf(peer); d != "" && d != t.domain {
 		t.count(direction+"_other_domains_"+kind, bytes)
 	}
 }
@@ -39,20 +43,24 @@
 	metrics.GetOrRegisterCounter(name, t.registry).Inc(int64(bytes))
 }
 
-// domainOf returns the failure domain of a peer, or an empty one if it has not stated any.
-func (t *traffic) domainOf(peer identifier.VM, e *peerv1.Envelope) identifier.FailureDomain {
+// learnDomain records the failure domain that a peer states in a message.
+func (t *traffic) learnDomain(peer identifier.VM, e *peerv1.Envelope) {
+	stated := cmp.Or(e.GetFrontPull().GetFailureDomain(), e.GetCoreHello().GetFailureDomain())
+	if stated == "" {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	stated := e.GetFrontPull().GetFailureDomain()
-	if h := e.GetCoreHello(); h != nil && stated == "" {
-		stated = h.GetFailureDomain()
-	}
-	if stated != "" && t.domains[peer] == "" {
-		if t.domains == nil {
-			t.domains = map[identifier.VM]identifier.FailureDomain{}
-		}
-		t.domains[peer] = identifier.FailureDomain(stated)
+	if t.domains == nil {
+		t.domains = map[identifier.VM]identifier.FailureDomain{}
 	}
+	t.domains[peer] = identifier.FailureDomain(stated)
+}
+
+// domainOf returns the failure domain of a peer, or an empty one if it has not stated any.
+func (t *traffic) domainOf(peer identifier.VM) identifier.FailureDomain {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	return t.domains[peer]
 }
 
--- a/internal/coordinator/traffic_test.go
+++ b/internal/coordinator/traffic_test.go
@@ -13,6 +13,8 @@
 	pull := func(domain string) *peerv1.Envelope {
 		return &peerv1.Envelope{Call: 7, FrontPull: &peerv1.FrontPull{FailureDomain: domain}}
 	}
+	// The domain in a message of one's own is not that of the peer.
+	tr.record("far", &peerv1.Envelope{CoreHello: &peerv1.CoreHello{FailureDomain: "z1"}}, 50, true)
 	tr.record("near", pull("z1"), 100, false)
 	tr.record("far", pull("z2"), 10, false)
 	tr.record("far", &peerv1.Envelope{Call: 7, Answer: true, FrontUpdate: &peerv1.FrontUpdate{}}, 1000, true)
@@ -22,7 +24,7 @@
 	for name, want := range map[string]int64{
 		"bytes_in_front_pull": 110, "bytes_in_other_domains_front_pull": 10,
 		"bytes_out_front_update": 1000, "bytes_out_other_domains_front_update": 1000,
-		"bytes_in_core_hello": 1, "bytes_in_other_domains_core_hello": 1,
+		"bytes_out_core_hello": 50, "bytes_in_core_hello": 1, "bytes_in_other_domains_core_hello": 1,
 		"bytes_out_ping": 2, "bytes_out_other_domains_ping": 0, "bytes_out_empty": 3, "bytes_out_other_domains_empty": 3,
 	} {
 		got := int64(0)
