linker, coordinator, fronter: compress messages between fronts and core processes

The names of fields and most values repeat within a message, and catalogs of 90 to 150 KB go through the log whole.

Messages of more than 512 bytes are compressed one by one, by the extension that WebSocket has for it, where both ends offer it; processes of an older version are answered without.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -193,7 +193,7 @@
 	c.placement.grouper.Policy = grouper.Policy{HeartbeatInterval: set.Bounds.HeartbeatInterval()}
 	c.linker = &linker.Linker{
 		VM: c.self, PeerKey: PeerKey, AllowUnlistedPeers: true, Scheme: "ws", Dialer: c.Network, Handler: c, Logger: c.Logger,
-		PingInterval: linkPingInterval, SilenceTimeout: linkSilenceTimeout,
+		PingInterval: linkPingInterval, SilenceTimeout: linkSilenceTimeout, Compress: true,
 	}
 	seeds := c.seedPeers()
 	start := driver.JoinLog
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -170,7 +170,7 @@
 	f.state.frontCounts.TTL = moveTimeout
 	f.linker = &linker.Linker{
 		VM: f.self, PeerKey: coordinator.PeerKey, AllowUnlistedPeers: true, Scheme: "ws", Dialer: f.Network, Handler: peerCallRejecter{},
-		Logger: f.Logger, PingInterval: linkPingInterval, SilenceTimeout: linkSilenceTimeout,
+		Logger: f.Logger, PingInterval: linkPingInterval, SilenceTimeout: linkSilenceTimeout, Compress: true,
 	}
 	f.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return f.Network.DialContext(ctx, "tcp", address)
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -114,7 +114,7 @@
 	header.Set(headerProtocol, protocolHeaderValue)
 	transport := &http.Transport{DialContext: k.linker.Dialer.DialContext, TLSClientConfig: k.linker.TLS}
 	c, _, err := websocket.Dial(ctx, k.linker.Scheme+"://"+k.address+Path, &websocket.DialOptions{
-		HTTPHeader: header, HTTPClient: &http.Client{Transport: transport},
+		HTTPHeader: header, HTTPClient: &http.Client{Transport: transport}, CompressionMode: k.linker.compressionMode(),
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -87,6 +87,8 @@
 	TLS     *tls.Config
 	Handler Handler
 	Logger  log.Logger
+	// Compress compresses messages of more than 512 bytes on links whose peer does so too.
+	Compress bool
 	// OnMessage, if set, is called for each message that is sent or was received, with its
 	// size in bytes. It has to return quickly and may be called concurrently.
 	OnMessage func(peer identifier.VM, e *peerv1.Envelope, bytes int, sent bool)
@@ -136,6 +138,15 @@
 	return k.call(ctx, e)
 }
 
+// compressionMode returns how the messages of a link are compressed: one by one, because a
+// window over several messages costs more than a megabyte a link.
+func (l *Linker) compressionMode() websocket.CompressionMode {
+	if l.Compress {
+		return websocket.CompressionNoContextTakeover
+	}
+	return websocket.CompressionDisabled
+}
+
 func (l *Linker) linkTo(to identifier.VM) *link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -220,7 +231,7 @@
 		http.Error(w, "the peer is not in the settings", http.StatusForbidden)
 		return
 	}
-	c, err := websocket.Accept(w, r, nil)
+	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: l.compressionMode()})
 	if err != nil {
 		return
 	}
