throttler, coordinator: issue no permits again that fronts still hold

Cause: the reports of fronts on permits did not say whose they were. A core process that had just started took the reports on the permits of its former run, which expired unused, for reports on its own, took these back and issued them again while fronts held them. The same when a front changes its core process.

Grants and reports now name the run of the core process that issued the permits, and a front says with each pull how many of them it still holds. So a report that is lost, or a front that restarts, does not withhold permits for good either.

TestPermitsOfRestartedCoreDoNotAddUp: an idle front could send 37 requests at once, now 15 at most. TestLostReportsDoNotWithholdPermits: 24 permits in 10 s at 4 a second, now 38 or more.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,6 +41,7 @@
 	"trefoilhead.org/trefoilhead/internal/keeper"
 	"trefoilhead.org/trefoilhead/internal/linker"
 	"trefoilhead.org/trefoilhead/internal/replicator"
+	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
@@ -185,6 +186,7 @@
 	c.random = rand.New(rand.NewPCG(c.Seed, addressHash))
 	c.registryID = c.random.Uint64() >> 1
 	c.limits.allocator.Rand = rand.New(rand.NewPCG(c.Seed, addressHash+2))
+	c.limits.allocator.Issuer = throttler.IssuerID(c.registryID)
 	c.registry.SilenceTimeout = time.Duration(SilenceTimeoutHeartbeats * float64(set.Bounds.HeartbeatInterval()))
 	c.changed = make(chan struct{})
 	c.unreported = map[identifier.Server]bool{}
--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -46,12 +46,12 @@
 	if p.GetRegistry() == c.registryID {
 		// A front that only asks whether this process is confirmed counts elsewhere.
 		c.recordFront(time.Now(), from, wait, p)
+		c.reportPermits(from, p.GetPermitReports())
 	}
 	c.reportedFronts = max(c.reportedFronts, int(p.GetFronts()))
 	c.localDemand.add(p.GetDemands())
 	c.mergeEvidence(time.Now(), p.GetEvidence())
 	c.mergeLimits(time.Now(), from, p.GetLimits())
-	c.reportPermits(from, p.GetPermitReports())
 	for {
 		behind := p.GetRegistry() != c.registryID || p.GetRevision() != c.registry.Revision()
 		changed := c.changed
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -82,9 +82,7 @@
 
 // reportPermits records what a front says about its permits. The caller must hold mu.
 func (c *Coordinator) reportPermits(from identifier.VM, in []*peerv1.PermitReport) {
-	for _, r := range encoder.DecodePermitReports(in) {
-		c.limits.allocator.Report(from, r)
-	}
+	c.limits.allocator.Report(from, encoder.DecodePermitReports(in)...)
 }
 
 // issuePermits issues the permits that are due at this process: its part of the rate of each
--- a/internal/encoder/limits.go
+++ b/internal/encoder/limits.go
@@ -37,7 +37,7 @@
 func EncodePermitReports(in []throttler.PermitReport) []*peerv1.PermitReport {
 	var out []*peerv1.PermitReport
 	for _, r := range in {
-		out = append(out, &peerv1.PermitReport{Id: string(r.Server), Used: uint32(r.Used), Expired: uint32(r.Expired), Denied: uint32(r.Denied)})
+		out = append(out, &peerv1.PermitReport{Id: string(r.Server), Used: uint32(r.Used), Expired: uint32(r.Expired), Denied: uint32(r.Denied), Issuer: uint64(r.Issuer), Held: uint32(r.Held)})
 	}
 	return out
 }
@@ -48,6 +48,7 @@
 	for _, m := range in {
 		out = append(out, throttler.PermitReport{
 			Server: identifier.Server(m.GetId()), Used: int(m.GetUsed()), Expired: int(m.GetExpired()), Denied: int(m.GetDenied()),
+			Issuer: throttler.IssuerID(m.GetIssuer()), Held: int(m.GetHeld()),
 		})
 	}
 	return out
@@ -57,7 +58,7 @@
 func EncodeGrants(in []throttler.Grant) []*peerv1.PermitGrant {
 	var out []*peerv1.PermitGrant
 	for _, g := range in {
-		out = append(out, &peerv1.PermitGrant{Id: string(g.Server), Permits: uint32(g.Permits), LifetimeMs: uint32(g.Lifetime.Milliseconds())})
+		out = append(out, &peerv1.PermitGrant{Id: string(g.Server), Permits: uint32(g.Permits), LifetimeMs: uint32(g.Lifetime.Milliseconds()), Issuer: uint64(g.Issuer)})
 	}
 	return out
 }
@@ -66,7 +67,7 @@
 func DecodeGrants(in []*peerv1.PermitGrant) []throttler.Grant {
 	var out []throttler.Grant
 	for _, m := range in {
-		out = append(out, throttler.Grant{Server: identifier.Server(m.GetId()), Permits: int(m.GetPermits()), Lifetime: milliseconds(uint64(m.GetLifetimeMs()))})
+		out = append(out, throttler.Grant{Server: identifier.Server(m.GetId()), Permits: int(m.GetPermits()), Lifetime: milliseconds(uint64(m.GetLifetimeMs())), Issuer: throttler.IssuerID(m.GetIssuer())})
 	}
 	return out
 }
--- a/internal/throttler/allocator.go
+++ b/internal/throttler/allocator.go
@@ -45,9 +45,11 @@
 // weighted round robin, so the number of permits in any span of time follows the rate.
 // Permits that a front did not use are issued again.
 //
-// Rand is set before use. The zero value of the other fields is ready to use.
+// Rand and Issuer are set before use. The zero value of the other fields is ready to use.
 type Allocator struct {
 	Rand *rand.Rand
+	// Issuer names this run of the core process.
+	Issuer IssuerID
 
 	accounts map[identifier.Server]*account
 }
@@ -68,13 +70,16 @@
 	// usage is a moving average of the share of its permits that the front used.
 	usage float64
 	// pending permits were issued at pendingSince and wait to be fetched. held ones were
-	// fetched, the last of them at fetchedAt, and have not been reported.
+	// fetched, the last of them at fetchedAt, and the front has not said that it holds fewer.
 	pending      int
 	pendingSince time.Time
 	held         int
 	fetchedAt    time.Time
 }
 
+// IssuerID names one run of a core process, in which it knows what it has issued.
+type IssuerID uint64
+
 // PermitReport is what has become of a front's permits for a server.
 type PermitReport struct {
 	Server  identifier.Server
@@ -82,6 +87,9 @@
 	Expired int
 	// Denied counts requests that were refused for lack of a permit.
 	Denied int
+	// Issuer is that of the permits, and Held the number of them that the front still holds.
+	Issuer IssuerID
+	Held   int
 }
 
 // Grant is a number of permits for a server, which a front may use during Lifetime.
@@ -89,6 +97,7 @@
 	Server   identifier.Server
 	Permits  int
 	Lifetime time.Duration
+	Issuer   IssuerID
 }
 
 // Weights returns the weight of each front for a server: its demand, times the share of
@@ -177,8 +186,9 @@
 func (acc *account) dropStale(now time.Time, weights map[identifier.VM]float64) {
 	for vm, h := range acc.holders {
 		if h.pending > 0 && now.Sub(h.pendingSince) > fetchTimeout {
-			acc.takeBack(h.pending)
+			n := h.pending
 			h.pending = 0
+			acc.takeBack(n)
 		}
 		if h.held > 0 && now.Sub(h.fetchedAt) > acc.lifetime()+reportDelay {
 			h.held = 0
@@ -189,14 +199,14 @@
 	}
 }
 
-// takeBack adds permits that were not used to the tokens. What is outstanding and the tokens
+// takeBack adds permits that were not used, and are not outstanding any more, to the tokens. What is outstanding and the tokens
 // together stay within what may be outstanding and one more, so that unused permits do not
 // add up.
 func (acc *account) takeBack(n int) {
 	if acc.rate < minReissueRate {
 		return
 	}
-	room := acc.maxOutstanding() + 1 - acc.outstanding() + float64(n)
+	room := acc.maxOutstanding() + 1 - acc.outstanding()
 	acc.tokens = max(acc.tokens, min(acc.tokens+float64(n), room))
 }
 
@@ -227,16 +237,34 @@
 	best.pending++
 }
 
-// Report records what a front says about its permits.
-func (a *Allocator) Report(from identifier.VM, r PermitReport) {
-	acc := a.accounts[r.Server]
-	if acc == nil || acc.holders[from] == nil {
-		return
+// Report records what a front says about its permits before it fetches again. It says all that
+// it holds, so that reports and permits which were lost on the way do not count for ever. What
+// it says about permits of another issuer changes nothing here.
+func (a *Allocator) Report(from identifier.VM, reports ...PermitReport) {
+	held := map[identifier.Server]int{}
+	for _, r := range reports {
+		if r.Issuer == a.Issuer {
+			held[r.Server] = r.Held
+		}
+	}
+	for id, acc := range a.accounts {
+		if h := acc.holders[from]; h != nil {
+			h.held = min(h.held, held[id])
+		}
 	}
-	h := acc.holders[from]
-	expired := min(r.Expired, h.held)
-	acc.takeBack(expired)
-	h.held = max(h.held-r.Used-r.Expired, 0)
+	for _, r := range reports {
+		acc := a.accounts[r.Server]
+		if acc == nil || acc.holders[from] == nil {
+			continue
+		}
+		acc.holders[from].updateUsage(r)
+		if r.Issuer == a.Issuer {
+			acc.takeBack(r.Expired)
+		}
+	}
+}
+
+func (h *holder) updateUsage(r PermitReport) {
 	for range r.Used {
 		h.usage += usageWeight * (1 - h.usage)
 	}
@@ -256,7 +284,7 @@
 		if h == nil || h.pending == 0 {
 			continue
 		}
-		grants = append(grants, Grant{Server: id, Permits: h.pending, Lifetime: acc.lifetime()})
+		grants = append(grants, Grant{Server: id, Permits: h.pending, Lifetime: acc.lifetime(), Issuer: a.Issuer})
 		h.held, h.fetchedAt, h.pending = h.held+h.pending, now, 0
 	}
 	slices.SortFunc(grants, func(x, y Grant) int {
--- a/internal/throttler/allowance.go
+++ b/internal/throttler/allowance.go
@@ -29,14 +29,33 @@
 
 // allowanceState is the state of one server's permits at one front.
 type allowanceState struct {
+	server      identifier.Server
 	incarnation identifier.Incarnation
 	// rate is the limit for which the permits were issued.
 	rate Rate
-	// expiries holds when each permit expires, in ascending order.
-	expiries []time.Time
+	// permits are in the order in which they expire.
+	permits []permit
 	// slots are when this front may send requests by itself.
-	slots      Slots
-	unreported PermitReport
+	slots Slots
+	// unreported holds at most one report for each issuer.
+	unreported []PermitReport
+}
+
+// permit is the permission to send one request.
+type permit struct {
+	expiresAt time.Time
+	issuer    IssuerID
+}
+
+// reportOn returns the report on the permits of an issuer.
+func (st *allowanceState) reportOn(issuer IssuerID) *PermitReport {
+	for i := range st.unreported {
+		if st.unreported[i].Issuer == issuer {
+			return &st.unreported[i]
+		}
+	}
+	st.unreported = append(st.unreported, PermitReport{Server: st.server, Issuer: issuer})
+	return &st.unreported[len(st.unreported)-1]
 }
 
 func (a *Allowance) stateOf(l *Limit) *allowanceState {
@@ -45,12 +64,12 @@
 		if a.states == nil {
 			a.states = map[identifier.Server]*allowanceState{}
 		}
-		st = &allowanceState{incarnation: l.Incarnation, rate: l.Rate, unreported: PermitReport{Server: l.Server}}
+		st = &allowanceState{server: l.Server, incarnation: l.Incarnation, rate: l.Rate}
 		a.states[l.Server] = st
 	}
 	if l.Rate < st.rate {
 		// They were issued for a higher rate.
-		st.expiries = nil
+		st.permits = nil
 	}
 	st.rate = l.Rate
 	return st
@@ -67,9 +86,9 @@
 		}
 		st := a.stateOf(l)
 		for range g.Permits {
-			st.expiries = append(st.expiries, now.Add(g.Lifetime))
+			st.permits = append(st.permits, permit{now.Add(g.Lifetime), g.Issuer})
 		}
-		slices.SortFunc(st.expiries, time.Time.Compare)
+		slices.SortFunc(st.permits, func(x, y permit) int { return x.expiresAt.Compare(y.expiresAt) })
 	}
 }
 
@@ -77,7 +96,7 @@
 func (a *Allowance) CanSend(now time.Time, l *Limit) bool {
 	st := a.stateOf(l)
 	st.dropExpired(now)
-	return len(st.expiries) > 0 || a.hasSlot(now, st)
+	return len(st.permits) > 0 || a.hasSlot(now, st)
 }
 
 // Take uses up a permit, and reports whether there was one.
@@ -86,9 +105,9 @@
 		return false
 	}
 	st := a.stateOf(l)
-	if len(st.expiries) > 0 {
-		st.expiries = st.expiries[1:]
-		st.unreported.Used++
+	if len(st.permits) > 0 {
+		st.reportOn(st.permits[0].issuer).Used++
+		st.permits = st.permits[1:]
 		return true
 	}
 	st.slots.Take(a.slotInterval(st))
@@ -97,16 +116,23 @@
 
 // Return takes back the use of a permit for a request that did not reach the server.
 func (a *Allowance) Return(id identifier.Server) {
-	if st := a.states[id]; st != nil && st.unreported.Used > 0 {
-		st.unreported.Used--
-		st.unreported.Expired++
+	st := a.states[id]
+	if st == nil {
+		return
+	}
+	for i := range st.unreported {
+		if r := &st.unreported[i]; r.Used > 0 {
+			r.Used--
+			r.Expired++
+			return
+		}
 	}
 }
 
 func (st *allowanceState) dropExpired(now time.Time) {
-	for len(st.expiries) > 0 && !now.Before(st.expiries[0]) {
-		st.expiries = st.expiries[1:]
-		st.unreported.Expired++
+	for len(st.permits) > 0 && !now.Before(st.permits[0].expiresAt) {
+		st.reportOn(st.permits[0].issuer).Expired++
+		st.permits = st.permits[1:]
 	}
 }
 
@@ -130,7 +156,7 @@
 }
 
 // RecordDenied records that a request was refused for lack of a permit.
-func (a *Allowance) RecordDenied(l *Limit) { a.stateOf(l).unreported.Denied++ }
+func (a *Allowance) RecordDenied(l *Limit) { a.stateOf(l).reportOn(0).Denied++ }
 
 // ExpectedInterval returns the mean time between two requests that this front may send to
 // any of some servers.
@@ -142,20 +168,24 @@
 	return time.Duration(float64(time.Second) / float64(max(sum, minRate)) * float64(max(a.Fronts, 1)))
 }
 
-// TakeReports returns what has become of permits since the last call, and forgets it.
+// TakeReports returns what has become of permits since the last call, and forgets it, and
+// which permits this front holds.
 func (a *Allowance) TakeReports(now time.Time) []PermitReport {
 	var out []PermitReport
 	for id, st := range a.states {
 		st.dropExpired(now)
-		if r := st.unreported; r.Used+r.Expired+r.Denied > 0 {
-			out = append(out, r)
-			st.unreported = PermitReport{Server: id}
+		for _, p := range st.permits {
+			st.reportOn(p.issuer).Held++
 		}
-		if l := a.Ledger.byServer[id]; (l == nil || !l.InForce()) && len(st.expiries) == 0 {
+		out = append(out, st.unreported...)
+		st.unreported = nil
+		if l := a.Ledger.byServer[id]; (l == nil || !l.InForce()) && len(st.permits) == 0 {
 			delete(a.states, id)
 		}
 	}
-	slices.SortFunc(out, func(x, y PermitReport) int { return cmp.Compare(x.Server, y.Server) })
+	slices.SortFunc(out, func(x, y PermitReport) int {
+		return cmp.Or(cmp.Compare(x.Server, y.Server), cmp.Compare(x.Issuer, y.Issuer))
+	})
 	return out
 }
 
@@ -177,7 +207,7 @@
 		info := AllowanceInfo{Server: l.Server, PerSecond: l.Rate, NamedAgo: now.Sub(l.NamedAt), FirstNamedAgo: now.Sub(l.FirstNamedAt)}
 		if st := a.states[l.Server]; st != nil {
 			st.dropExpired(now)
-			info.Permits = len(st.expiries)
+			info.Permits = len(st.permits)
 		}
 		out = append(out, info)
 	}
--- a/internal/throttler/measure_test.go
+++ b/internal/throttler/measure_test.go
@@ -199,9 +199,7 @@
 		}
 		core := p.cores[i%p.w.cores]
 		f.RecordContact(now, p.calledAt[i], core.Fetch(now, frontName(i)))
-		for _, r := range f.TakeReports(now) {
-			core.Report(frontName(i), r)
-		}
+		core.Report(frontName(i), f.TakeReports(now)...)
 		p.calledAt[i], p.nextPullAt[i] = now, now.Add(p.wait)
 	}
 }
--- a/internal/throttler/permits_test.go
+++ b/internal/throttler/permits_test.go
@@ -44,10 +44,10 @@
 			held[f] -= n
 			switch rapid.IntRange(0, 2).Draw(t, "fate") {
 			case 0:
-				a.Report(f, PermitReport{Server: "s", Expired: n})
+				a.Report(f, PermitReport{Server: "s", Expired: n, Held: held[f]})
 				continue
 			case 1:
-				a.Report(f, PermitReport{Server: "s", Used: n})
+				a.Report(f, PermitReport{Server: "s", Used: n, Held: held[f]})
 			}
 			for range n {
 				usedAt = append(usedAt, ms)
@@ -102,7 +102,7 @@
 func TestPermitExpires(t *testing.T) {
 	a := newTestAllowance(1, 1)
 	l := a.Ledger.Get("s", 1)
-	a.RecordContact(at(0), at(0), []Grant{{"s", 2, time.Second}})
+	a.RecordContact(at(0), at(0), []Grant{{Server: "s", Permits: 2, Lifetime: time.Second}})
 	if !a.Take(at(500), l) || a.CanSend(at(1000), l) {
 		t.Error("one permit is usable within its lifetime, and none after it")
 	}
@@ -116,7 +116,7 @@
 
 func TestPermitOfUnreachableServerIsReturned(t *testing.T) {
 	a := newTestAllowance(1, 1)
-	a.RecordContact(at(0), at(0), []Grant{{"s", 1, time.Second}})
+	a.RecordContact(at(0), at(0), []Grant{{Server: "s", Permits: 1, Lifetime: time.Second}})
 	a.Take(at(0), a.Ledger.Get("s", 1))
 	a.Return("s")
 	if got := a.TakeReports(at(0)); len(got) != 1 || got[0].Expired != 1 || got[0].Used != 0 {
@@ -127,7 +127,7 @@
 // TestLowerRateVoidsPermits guards against permits that were issued for a higher rate.
 func TestLowerRateVoidsPermits(t *testing.T) {
 	a := newTestAllowance(1, 1)
-	a.RecordContact(at(0), at(0), []Grant{{"s", 3, time.Second}})
+	a.RecordContact(at(0), at(0), []Grant{{Server: "s", Permits: 3, Lifetime: time.Second}})
 	a.Ledger.Observe(at(10), "s", 1, at(0), named(1))
 	if a.CanSend(at(10), a.Ledger.Get("s", 1)) {
 		t.Error("a permit for a higher rate is used")
@@ -196,3 +196,58 @@
 		t.Errorf("in the last 5 s of a rate of 2 the front that is left got %d permits", got)
 	}
 }
+
+// TestPermitsOfRestartedCoreDoNotAddUp guards against a core process that takes reports on the
+// permits of its former run, or of another process, for reports on its own, and issues those
+// again while fronts still hold them.
+func TestPermitsOfRestartedCoreDoNotAddUp(t *testing.T) {
+	const rate = 8
+	front := newTestAllowance(1, 1)
+	front.Ledger.Observe(at(0), "s", 1, at(0), named(rate))
+	l := front.Ledger.Get("s", 1)
+	most := int(rate*maxOutstandingTime.Seconds()) + 1
+	for run := range 3 {
+		a := newTestAllocator()
+
+		for ms := 2700 * run; ms < 2700*(run+1); ms += 50 {
+			weights, _ := a.Weights("s", map[identifier.VM]float64{"f": 1})
+			a.Advance(at(ms), "s", rate, 1, weights)
+			a.Report("f", front.TakeReports(at(ms))...)
+			front.RecordContact(at(ms), at(ms), a.Fetch(at(ms), "f"))
+		}
+	}
+	taken := 0
+	for front.Take(at(3*2700), l) {
+		taken++
+	}
+	if taken > most {
+		t.Errorf("a front that was idle may send %d requests at once, want %d at most", taken, most)
+	}
+}
+
+// TestLostReportsDoNotWithholdPermits guards against permits that count as out for good
+// because the front that held them has restarted, or its report was lost.
+func TestLostReportsDoNotWithholdPermits(t *testing.T) {
+	const usedAfter = 1200
+	a := newTestAllocator()
+	demand := map[identifier.VM]float64{"f": 1}
+	used := map[int]int{}
+	got := 0
+	for ms := 0; ms < 20000; ms += 50 {
+		weights, _ := a.Weights("s", demand)
+		a.Advance(at(ms), "s", 4, 1, weights)
+		a.Report("f", PermitReport{Server: "s", Used: used[ms]})
+		for _, g := range a.Fetch(at(ms), "f") {
+			if ms > 10000 {
+				got += g.Permits
+			}
+			// Those of the first second are never reported.
+			if ms > 1000 {
+				used[ms+usedAfter] += g.Permits
+			}
+		}
+	}
+	if got < 38 {
+		t.Errorf("%d permits in 10 s at 4 a second", got)
+	}
+}
