--- a/review/kit/servers.go
+++ b/review/kit/servers.go
@@ -15,17 +15,17 @@
 
 // server is a stand-in for a backend server of a plain service.
 type server struct {
-	s                 *stage
-	id, service, zone string
-	address           string
-	born              int64
-	http              *http.Server
-	work              time.Duration
-	mu                sync.Mutex
-	sequence          int
-	state             string
-	quiet, ended      bool
-	runs              []run
+	s                     *stage
+	id, service, zone     string
+	address               string
+	born                  int64
+	http                  *http.Server
+	work                  time.Duration
+	mu                    sync.Mutex
+	sequence              int
+	state                 string
+	quiet, ended, leaving bool
+	runs                  []run
 }
 
 // run is one request that a server ran.
@@ -104,6 +104,13 @@
 		return
 	}
 	body := "answer of " + v.id + " to " + id
+	v.mu.Lock()
+	leaving := v.leaving
+	v.mu.Unlock()
+	if leaving {
+		w.Header().Set(n["leaving"], "1")
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set(n["signature"], "sig."+v.id+"."+id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	_, _ = io.WriteString(w, body)
@@ -139,6 +146,9 @@
 	front    *process
 	status   int
 	err      error
+	// toldLeaving is set if the answer, which came at answeredAt, says that its server leaves.
+	toldLeaving bool
+	answeredAt  time.Time
 }
 
 // callers sends perSecond requests, each on a new channel to a front in rotation, until the
@@ -173,14 +183,15 @@
 	r.Header.Set(s.names["key"], "n2ctnfzs989anu6wsjnb")
 	s.note("client sends %s %s to %s", kind, q.id, p.name)
 	resp, err := client.Do(r)
-	status := 0
+	status, told := 0, false
 	if err == nil {
+		told = resp.Header.Get(s.names["leaving"]) != ""
 		_, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 		status = resp.StatusCode
 	}
 	s.mu.Lock()
-	q.status, q.err = status, err
+	q.status, q.err, q.toldLeaving, q.answeredAt = status, err, told, time.Now()
 	s.mu.Unlock()
 	s.note("client gets %d for %s %s", status, kind, q.id)
 }
