review: fronts go on sending to an evacuated zone after a big config

A reply to a front that waits for the lock while a big config is decoded has the state from before an evacuation and the revision from after it, and the front applies evacuations only when the revision changes.

--- a/review/kit/servers.go
+++ b/review/kit/servers.go
@@ -36,7 +36,7 @@
 
 // startServer starts a backend server, which announces itself.
 func (s *stage) startServer(id, service, zone string) (*server, error) {
-	l, err := net.Listen("tcp", s.prefix+"8:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", s.prefix, serverHost))
 	if err != nil {
 		return nil, err
 	}
--- a/review/kit/stage.go
+++ b/review/kit/stage.go
@@ -63,6 +63,8 @@
 	templates *template.Template
 	startedAt time.Time
 	stopping  chan struct{}
+	// frontsPerZone is 1 if it is not set.
+	frontsPerZone int
 
 	mu        sync.Mutex
 	record    *os.File
@@ -198,17 +200,24 @@
 	return true
 }
 
-// startSystem starts three core processes and three fronts in three zones.
+// serverHost is the last part of the address of the backend servers.
+const serverHost = 99
+
+// startSystem starts three core processes and the fronts in three zones.
 func (s *stage) startSystem() error {
-	if err := s.choosePrefix(8); err != nil {
+	machines := 3 + 3*max(s.frontsPerZone, 1)
+	if err := s.choosePrefix(machines); err != nil {
 		return err
 	}
-	for i := 1; i <= 6; i++ {
+	for i := 1; i <= machines; i++ {
 		p := &process{role: "core", zone: fmt.Sprintf("zone-%d", 1+(i-1)%3), ip: fmt.Sprintf("%s%d", s.prefix, i)}
 		if i > 3 {
 			p.role = "front"
 		}
 		p.name = p.role + "-" + p.zone
+		if i > 6 {
+			p.name += fmt.Sprintf("-%d", 1+(i-4)/3)
+		}
 		p.data = filepath.Join(s.folder, p.name)
 		s.processes = append(s.processes, p)
 		if err := s.start(p, true); err != nil {
@@ -424,6 +433,11 @@
 
 // publish sends the first config.
 func (s *stage) publish(version int) error {
-	_, err := s.order(http.MethodPut, s.names["config_path"], s.render("config.tmpl", version), s.of("core")...)
+	_, err := s.order(http.MethodPut, s.names["config_path"], s.config(version, 0), s.of("core")...)
 	return err
 }
+
+// config returns a config with a number of routes beside those that are used.
+func (s *stage) config(version, routes int) []byte {
+	return s.render("config.tmpl", map[string]any{"Version": version, "More": make([]struct{}, routes)})
+}
