--- a/review/kit/servers.go
+++ b/review/kit/servers.go
@@ -154,17 +154,21 @@
 // callers sends perSecond requests, each on a new channel to a front in rotation, until the
 // play ends. One in two may run at most once.
 func (s *stage) callers(perSecond int) {
-	client := &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true, MaxIdleConns: 0}}
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, MaxIdleConns: 0}}
 	for i := 0; s.sleep(time.Second / time.Duration(perSecond)); i++ {
 		if p := s.pickFront(); p != nil {
-			go s.ask(client, p, []string{"read", "confirm"}[i%2])
+			kinds := []string{"read", "confirm"}
+			if s.withEngines {
+				kinds = append(kinds, "ask", "ask")
+			}
+			go s.ask(client, p, kinds[i%len(kinds)])
 		}
 	}
 }
 
 func (s *stage) ask(client *http.Client, p *process, kind string) {
 	method, body := http.MethodGet, io.Reader(nil)
-	if kind == "confirm" {
+	if kind != "read" {
 		method, body = http.MethodPost, io.MultiReader(&pattern{left: 600})
 	}
 	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d/%s/x", p.ip, portCallers, kind), body)
@@ -181,6 +185,12 @@
 	r.Header.Set(s.names["request_id"], q.id)
 	r.Header.Set(s.names["deadline"], "1500")
 	r.Header.Set(s.names["key"], "n2ctnfzs989anu6wsjnb")
+	if kind == "ask" {
+		r.Header.Set(s.names["deadline"], "5000")
+		r.Header.Set(s.names["model"], "m1")
+		r.Header.Set(s.names["tokens"], "200,60")
+		r.Header.Set(s.names["prompt"], fmt.Sprintf("5a:40,%s:160", q.id[1:]))
+	}
 	s.note("client sends %s %s to %s", kind, q.id, p.name)
 	resp, err := client.Do(r)
 	status, told := 0, false
--- a/review/kit/stage.go
+++ b/review/kit/stage.go
@@ -65,6 +65,8 @@
 	stopping  chan struct{}
 	// frontsPerZone is 1 if it is not set.
 	frontsPerZone int
+	// withEngines adds model replicas to the config and requests for them to the traffic.
+	withEngines bool
 
 	mu        sync.Mutex
 	record    *os.File
@@ -285,8 +287,18 @@
 
 // kill ends a process at once, and restarts it after restartDelay with the disk that it had.
 func (s *stage) kill(p *process) {
-	_ = p.cmd.Process.Kill()
 	s.note("DISRUPTION %s is killed", p.name)
+	s.end(p, syscall.SIGKILL)
+}
+
+// restart stops a process as planned, and starts it again.
+func (s *stage) restart(p *process) {
+	s.note("PLANNED %s gets SIGTERM", p.name)
+	s.end(p, syscall.SIGTERM)
+}
+
+func (s *stage) end(p *process, sig syscall.Signal) {
+	_ = p.cmd.Process.Signal(sig)
 	exited := p.exited
 	go func() {
 		<-exited
@@ -439,5 +451,5 @@
 
 // config returns a config with a number of routes beside those that are used.
 func (s *stage) config(version, routes int) []byte {
-	return s.render("config.tmpl", map[string]any{"Version": version, "More": make([]struct{}, routes)})
+	return s.render("config.tmpl", map[string]any{"Version": version, "More": make([]struct{}, routes), "Engines": s.withEngines})
 }
