--- a/review/kit/departure.go
+++ b/review/kit/departure.go
@@ -26,13 +26,13 @@
 	}
 	var leaving *server
 	for i := 1; i <= 3; i++ {
-		v, err := s.startServer(fmt.Sprintf("i-%d", i), "booking", fmt.Sprintf("zone-%d", i))
+		v, err := s.startServer(fmt.Sprintf("i-%d", i), fmt.Sprintf("zone-%d", i))
 		if err != nil {
 			return false, err
 		}
 		leaving = v
 	}
-	if err := s.publish(3); err != nil {
+	if err := s.publish(); err != nil {
 		return false, err
 	}
 	if err := s.awaitReady(); err != nil {
@@ -52,8 +52,11 @@
 	status, err := s.control(ctx, core, http.MethodDelete, s.names["replicas_path"]+leaving.id, nil)
 	ackedAt := time.Now()
 	cancel()
-	if err != nil || status != http.StatusOK {
-		return false, fmt.Errorf("the departure got no ack: %d, %v", status, err)
+	if err != nil {
+		return false, err
+	}
+	if status != http.StatusOK {
+		return false, fmt.Errorf("the departure was answered with %d", status)
 	}
 	from := ackedAt.Add(drainTime)
 	if s.trouble {
--- a/review/kit/evacuation.go
+++ b/review/kit/evacuation.go
@@ -27,13 +27,13 @@
 	}
 	var emptied *server
 	for i := 1; i <= 3; i++ {
-		v, err := s.startServer(fmt.Sprintf("i-%d", i), "booking", fmt.Sprintf("zone-%d", i))
+		v, err := s.startServer(fmt.Sprintf("i-%d", i), fmt.Sprintf("zone-%d", i))
 		if err != nil {
 			return false, err
 		}
 		emptied = v
 	}
-	if err := s.publish(3); err != nil {
+	if err := s.publish(); err != nil {
 		return false, err
 	}
 	if err := s.awaitReady(); err != nil {
--- a/review/kit/groups.go
+++ b/review/kit/groups.go
@@ -30,10 +30,10 @@
 		return false, err
 	}
 	defer f.stop()
-	if _, err := s.startServer("i-1", "booking", "zone-1"); err != nil {
+	if _, err := s.startServer("i-1", "zone-1"); err != nil {
 		return false, err
 	}
-	if err := s.publish(3); err != nil {
+	if err := s.publish(); err != nil {
 		return false, err
 	}
 	if err := s.awaitReady(); err != nil {
--- a/review/kit/leaving.go
+++ b/review/kit/leaving.go
@@ -19,13 +19,13 @@
 	}
 	var leaving *server
 	for i := 1; i <= 5; i++ {
-		v, err := s.startServer(fmt.Sprintf("i-%d", i), "booking", fmt.Sprintf("zone-%d", 1+i%3))
+		v, err := s.startServer(fmt.Sprintf("i-%d", i), fmt.Sprintf("zone-%d", 1+i%3))
 		if err != nil {
 			return false, err
 		}
 		leaving = v
 	}
-	if err := s.publish(3); err != nil {
+	if err := s.publish(); err != nil {
 		return false, err
 	}
 	if err := s.awaitReady(); err != nil {
@@ -43,7 +43,6 @@
 	leaving.mu.Lock()
 	leaving.state, leaving.leaving = "draining", true
 	leaving.mu.Unlock()
-	leftAt := time.Now()
 	s.note("LEAVES %s", leaving.id)
 	s.sleep(drainTime + lingerTime)
 	if s.trouble {
@@ -59,14 +58,14 @@
 	leaving.exit()
 	s.note("EXIT %s exits", leaving.id)
 	s.sleep(time.Second)
-	late, lost := s.countLate(leaving, leftAt)
+	late, lost := s.countLate(leaving)
 	s.note("CHECK %d requests reached %s through a front that had passed on an answer of a leaving server more than %s before they were sent; %d of those that may run once were lost at its exit", late, leaving.id, drainTime, lost)
 	return late > 0, nil
 }
 
 // countLate counts the requests that reached a server through a front that had passed on an
 // answer with the header of a leaving server for longer than drainTime when they were sent.
-func (s *stage) countLate(v *server, leftAt time.Time) (late, lost int) {
+func (s *stage) countLate(v *server) (late, lost int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	toldAt := map[*process]time.Time{}
--- a/review/kit/orders.go
+++ b/review/kit/orders.go
@@ -27,13 +27,13 @@
 	var emptied *server
 	// The fronts of the second zone use the servers of both others.
 	for i, zone := range []string{"zone-1", "zone-3"} {
-		v, err := s.startServer(fmt.Sprintf("i-%d", i+1), "booking", zone)
+		v, err := s.startServer(fmt.Sprintf("i-%d", i+1), zone)
 		if err != nil {
 			return false, err
 		}
 		emptied = v
 	}
-	if err := s.publish(3); err != nil {
+	if err := s.publish(); err != nil {
 		return false, err
 	}
 	if err := s.awaitReady(); err != nil {
@@ -42,7 +42,7 @@
 	go s.callers(180)
 	s.sleep(contactTime)
 	path, cores := s.names["evacuate_path"]+emptied.zone, s.of("core")
-	version := 3
+	version := firstVersion
 	for i := 1; i <= orderRounds && time.Since(s.startedAt) < 92*time.Second; i++ {
 		if s.trouble {
 			version += 4
@@ -82,7 +82,7 @@
 	now := time.Now()
 	s.sleep(5 * time.Second)
 	s.note("AFTER 5 s more, with nothing changed: %d requests more have reached the zone", len(emptied.runsSince(now)))
-	if _, err := s.startServer("i-3", "booking", "zone-1"); err != nil {
+	if _, err := s.startServer("i-3", "zone-1"); err != nil {
 		return err
 	}
 	s.sleep(time.Second)
--- a/review/kit/servers.go
+++ b/review/kit/servers.go
@@ -16,7 +16,7 @@
 // server is a stand-in for a backend server of a plain service.
 type server struct {
 	s                     *stage
-	id, service, zone     string
+	id, zone              string
 	address               string
 	born                  int64
 	http                  *http.Server
@@ -35,12 +35,12 @@
 }
 
 // startServer starts a backend server, which announces itself.
-func (s *stage) startServer(id, service, zone string) (*server, error) {
+func (s *stage) startServer(id, zone string) (*server, error) {
 	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", s.prefix, serverHost))
 	if err != nil {
 		return nil, err
 	}
-	v := &server{s: s, id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), work: 40 * time.Millisecond, state: "ready"}
+	v := &server{s: s, id: id, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), work: 40 * time.Millisecond, state: "ready"}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+s.names["health_path"], func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(s.names["request_id"], "") })
 	mux.HandleFunc("/", v.handle)
@@ -64,7 +64,7 @@
 		}
 		v.sequence++
 		body := v.s.render("beat.tmpl", map[string]any{
-			"Service": v.service, "Address": v.address, "Zone": v.zone, "State": v.state, "Born": v.born, "Sequence": v.sequence,
+			"Address": v.address, "Zone": v.zone, "State": v.state, "Born": v.born, "Sequence": v.sequence,
 		})
 		v.mu.Unlock()
 		cores := v.s.of("core")
--- a/review/kit/stage.go
+++ b/review/kit/stage.go
@@ -443,9 +443,12 @@
 	return time.Time{}, fmt.Errorf("no ack for %s %s", method, path)
 }
 
+// firstVersion is the version of the first config.
+const firstVersion = 3
+
 // publish sends the first config.
-func (s *stage) publish(version int) error {
-	_, err := s.order(http.MethodPut, s.names["config_path"], s.config(version, 0), s.of("core")...)
+func (s *stage) publish() error {
+	_, err := s.order(http.MethodPut, s.names["config_path"], s.config(firstVersion, 0), s.of("core")...)
 	return err
 }
 
