--- a/review/kit/evacuation.go
+++ b/review/kit/evacuation.go
@@ -13,7 +13,7 @@
 func init() { cases["evacuation"] = playEvacuation }
 
 // rounds is how often the case is tried in one play.
-const rounds = 3
+const rounds = 7
 
 // frozenTime is how long a machine of the core stands still.
 const frozenTime = 4 * time.Second
@@ -43,7 +43,7 @@
 	s.sleep(contactTime)
 	path := s.names["evacuate_path"] + emptied.zone
 	broken := 0
-	for i := 1; i <= rounds && time.Since(s.startedAt) < 95*time.Second; i++ {
+	for i := 1; i <= rounds && time.Since(s.startedAt) < 92*time.Second; i++ {
 		n, err := s.emptyTwice(path, emptied)
 		if err != nil {
 			return false, err
