preserver: write evidence again once a full disk has room

Evidence about requests that crash servers stayed off the disk after a full disk had room again, until other evidence came; a restart of all processes in between forgot it.

Cause: a write that failed was repeated only with the next change.

--- a/internal/preserver/preserver.go
+++ b/internal/preserver/preserver.go
@@ -97,16 +97,19 @@
 
 // NotifyChanged tells the Preserver the revision of the content. It does not block.
 func (p *Preserver) NotifyChanged(revision uint64) {
-	if p.revision.Swap(revision) == revision {
-		return
+	if p.revision.Swap(revision) != revision {
+		p.notify()
 	}
+}
+
+func (p *Preserver) notify() {
 	select {
 	case p.changed <- struct{}{}:
 	default:
 	}
 }
 
-// Run writes the file after each change until ctx ends.
+// Run writes the file after each change until ctx ends, and again while that fails.
 func (p *Preserver) Run(ctx context.Context) {
 	for {
 		select {
@@ -115,6 +118,9 @@
 		case <-p.changed:
 		}
 		p.save(time.Now())
+		if p.failing {
+			p.notify()
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -123,7 +129,7 @@
 	}
 }
 
-// save writes the file. After a failure it is written again with the next change.
+// save writes the file and logs when it begins or ceases to fail.
 func (p *Preserver) save(now time.Time) {
 	err := p.write(now)
 	if failing := err != nil; failing != p.failing {
@@ -157,7 +163,8 @@
 		err = f.Sync()
 	}
 	if err = errors.Join(err, f.Close()); err != nil {
-		return Error.Wrap(err)
+		// The unfinished file would only take room.
+		return Error.Wrap(errors.Join(err, p.FileSystem.Remove(tempFileName)))
 	}
 	if err := p.FileSystem.Rename(tempFileName, fileName); err != nil {
 		return Error.Wrap(err)
--- a/internal/preserver/preserver_test.go
+++ b/internal/preserver/preserver_test.go
@@ -1,9 +1,11 @@
 package preserver
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -92,3 +94,34 @@
 		t.Error("the second write failed too")
 	}
 }
+
+// TestEvidenceIsWrittenAfterFullDisk guards against evidence that stays unwritten after a full disk has room
+// again, because nothing changes any more.
+func TestEvidenceIsWrittenAfterFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		folder, full := t.TempDir(), filepath.Join(t.TempDir(), "full")
+		if err := os.WriteFile(full, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		l := ledgerWithCrash(time.Now())
+		p := &Preserver{
+			FileSystem: journaler.RefusingFolder{OSFolder: journaler.OSFolder(folder), While: full}, Logger: log.NewNopLogger(),
+			Collect: func() Content { return Content{Evidence: l.Snapshot(9)} },
+		}
+		p.Init(time.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.Run(ctx)
+		p.NotifyChanged(1)
+		time.Sleep(3 * time.Second)
+		if err := os.Remove(full); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if _, c := open(folder, time.Now(), &isolator.Ledger{}); len(c.Evidence) != 1 {
+			t.Error("the evidence was not written")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
