driver, journaler: step back while the disk refuses writes, and come back

Core processes ended at the first write that a full disk refused, and at each start until it had room: what they know of servers, the pulls of fronts and their vote went with them.

A voter whose write is refused now leads no more, says and acknowledges nothing in the log, and refuses operators at once, while announcements, departures and pulls go on.

Before, with the process ending as it did: TestDisksFullInSeries fails in four of four cases ("version 6 was not acknowledged"), TestStartOnFullDisk in both. After: they pass, and so does TestFullDiskAtEveryOperation (each operation, five lengths, a loss of power at each later one).

--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -43,6 +43,13 @@
 	MemoryMB int         `yaml:"memory_mb" json:"memory_mb"`
 	Bounds   NodeBounds  `yaml:"bounds" json:"bounds"`
 	Logs     LogSettings `yaml:"logs" json:"logs"`
+	Tests    NodeTests   `yaml:"tests" json:"tests"`
+}
+
+// NodeTests holds faults that tests inject.
+type NodeTests struct {
+	// DiskFullWhile is the path of a file. While it exists, the data folder refuses writes.
+	DiskFullWhile string `yaml:"disk_full_while" json:"disk_full_while"`
 }
 
 // NodeBounds holds the time and rate bounds that a deployment guarantees. Fields
--- a/internal/coordinator/confirm.go
+++ b/internal/coordinator/confirm.go
@@ -196,6 +196,9 @@
 			state, _ := c.keeper.State()
 			return state.Data, nil
 		}
+		if c.driver.Status().DiskRefuses {
+			return nil, ErrDiskRefuses
+		}
 		select {
 		case <-ctx.Done():
 			return nil, ErrNoQuorum
@@ -268,6 +271,9 @@
 				return nil
 			}
 		}
+		if c.driver.Status().DiskRefuses {
+			return ErrDiskRefuses
+		}
 		select {
 		case <-ctx.Done():
 			return ErrNoQuorum
@@ -290,6 +296,9 @@
 		if _, err := c.proposeOnce(ctx, data); err == nil {
 			return nil
 		}
+		if c.driver.Status().DiskRefuses {
+			return ErrDiskRefuses
+		}
 		select {
 		case <-ctx.Done():
 			return ErrNoQuorum
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -58,6 +58,9 @@
 	// ErrNoQuorum means that no quorum of the catalog log replied in time. A
 	// proposed change may or may not have been committed.
 	ErrNoQuorum = errs.New("the majority of the catalog log cannot be reached")
+	// ErrDiskRefuses means that this process takes no part in the catalog log, because its disk
+	// refuses writes. Another core process may serve the call.
+	ErrDiskRefuses = errs.New("the disk of this process refuses writes")
 )
 
 // PeerKey is the key that the processes of one system present to each other. It
@@ -211,7 +214,7 @@
 	delete(c.peers, c.self)
 	c.driver = &driver.Driver{
 		Name: logName, VM: c.self, InitialVoters: seeds, StateMachine: &c.keeper, Sender: logSender{c.linker}, Logger: c.Logger,
-		Journal:      &journaler.Journal{FileSystem: journaler.OSFolder(filepath.Join(set.DataFolder, logName))},
+		Journal:      &journaler.Journal{FileSystem: c.dataFolder(logName)},
 		TickInterval: logTickInterval, PersistCommit: true, EarlyElections: true, Rand: rand.New(rand.NewPCG(c.Seed, addressHash+1)), StartMode: start,
 		SnapshotMinEntries: snapshotEntries, TrailingEntries: trailingEntries,
 	}
@@ -221,6 +224,15 @@
 	c.linker.OnMessage = (&traffic{registry: c.Metrics, domain: set.FailureDomain}).record
 }
 
+// dataFolder returns a folder in the data folder.
+func (c *Coordinator) dataFolder(name string) journaler.FileSystem {
+	folder := journaler.OSFolder(filepath.Join(c.Settings.DataFolder, name))
+	if while := c.Settings.Tests.DiskFullWhile; while != "" {
+		return journaler.RefusingFolder{OSFolder: folder, While: while}
+	}
+	return folder
+}
+
 // seedPeers returns the peer addresses of the configured seeds.
 func (c *Coordinator) seedPeers() []identifier.VM { return SeedPeers(&c.Settings) }
 
@@ -249,7 +261,7 @@
 	s.l.Send(to, &peerv1.Envelope{Log: encoder.EncodeLogMessage(name, m)})
 }
 
-// Run serves until ctx is done, the storage of the log fails, or a listener
+// Run serves until ctx is done, the storage of the log is damaged, or a listener
 // fails.
 func (c *Coordinator) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -136,6 +136,7 @@
 	set := s.settings(name)
 	set.FirstStart = firstStart
 	set.DataFolder = h.disk
+	set.Tests.DiskFullWhile = s.diskFullFile(name)
 	c := &coordinator.Coordinator{
 		Settings: set, Logger: s.logger(name), Network: piper.Host{Network: s.net, Name: name}, OrderSender: unresponsiveOrderSender{},
 		DecodeCatalog: decode, ControlHandler: http.NotFoundHandler(), Elapsed: func() time.Duration { return time.Since(s.startedAt) },
@@ -149,6 +150,9 @@
 	h.done.Go(func() { _ = c.Run(ctx) })
 }
 
+// diskFullFile is the file that makes the disk of a host refuse writes.
+func (s *system) diskFullFile(name string) string { return filepath.Join(s.folder, name+"-full") }
+
 // replaceDisk gives a host an empty disk.
 func (s *system) replaceDisk(name string) {
 	s.diskCount++
--- a/internal/coordinator/isolation.go
+++ b/internal/coordinator/isolation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"trefoilhead.org/trefoilhead/internal/encoder"
 	"trefoilhead.org/trefoilhead/internal/isolator"
-	"trefoilhead.org/trefoilhead/internal/journaler"
 	"trefoilhead.org/trefoilhead/internal/keeper"
 	"trefoilhead.org/trefoilhead/internal/preserver"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
@@ -25,7 +23,7 @@
 // initPreserver merges the evidence that an earlier run of this process has written.
 func (c *Coordinator) initPreserver() {
 	c.preserver = preserver.Preserver{
-		FileSystem: journaler.OSFolder(filepath.Join(c.Settings.DataFolder, evidenceFolder)), Logger: c.Logger,
+		FileSystem: c.dataFolder(evidenceFolder), Logger: c.Logger,
 		Collect: func() preserver.Content {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -23,6 +23,7 @@
 	for name, value := range map[string]func() int64{
 		"log_term":                  func() int64 { return int64(c.driver.Status().Term) },
 		"log_applied":               func() int64 { return int64(c.driver.Status().AppliedIndex) },
+		"log_disk_refuses":          func() int64 { return boolGauge(c.driver.Status().DiskRefuses) },
 		"catalog_version":           func() int64 { s, _ := c.keeper.State(); return int64(s.Version) },
 		"state_confirmed_ago_ms":    func() int64 { ago, _ := c.confirmedAgo(); return ago.Milliseconds() },
 		"servers":                   func() int64 { return c.countServers(func(*tracker.Server) bool { return true }) },
@@ -51,6 +52,13 @@
 	c.orderDuration = metrics.NewRegisteredHistogram("order_ms", c.Metrics, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 }
 
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // sampleSize and sampleDecay are the metrics library's own values for a
 // histogram weighted towards the last five minutes.
 const (
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -117,6 +117,8 @@
 	serializing bool
 	// storageErr is a failure of the journal outside processOutput.
 	storageErr error
+	// refused is set while the disk refuses writes.
+	refused *refusedWrite
 }
 
 // StartMode determines what a voter does whose data folder is empty.
@@ -148,8 +150,9 @@
 	d.Logger = log.With(d.Logger, "part", "log", "log", d.Name)
 }
 
-// Run recovers the log from disk and runs the voter until ctx is done, the journal
-// fails or the state machine rejects a snapshot.
+// Run recovers the log from disk and runs the voter until ctx is done, the journal is
+// damaged or the state machine rejects a snapshot. While the disk refuses writes, the voter
+// takes no part in the log.
 func (d *Driver) Run(ctx context.Context) error {
 	if err := d.recoverLog(); err != nil {
 		return err
@@ -163,7 +166,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			d.tick()
+			if err := d.tick(); err != nil {
+				return err
+			}
 		case item := <-d.inbox:
 			d.handleInboxItem(item)
 			d.drainInbox()
@@ -188,16 +193,23 @@
 	}
 }
 
+// recoverLog reads the log from disk and starts the voter.
 func (d *Driver) recoverLog() error {
 	stored, rec, err := d.Journal.Open()
-	if err != nil {
+	if err != nil && !journaler.RefusedError.Has(err) {
 		return err
 	}
-	id, err := d.Journal.NodeID()
-	if err != nil {
+	_ = level.Info(d.Logger).Log("msg", "recovered from disk", "found", rec)
+	opened := func() error {
+		// Recover does what Open could not, so the error of Open counts once.
+		defer func() { err = nil }()
 		return err
 	}
-	_ = level.Info(d.Logger).Log("msg", "recovered from disk", "found", rec)
+	return d.persist(opened, func() error { return d.startVoter(stored) })
+}
+
+func (d *Driver) startVoter(stored replicator.PersistedState) error {
+	id := d.Journal.NodeID()
 	d.node = &replicator.Node{
 		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: d.Rand,
 		PersistCommit: d.PersistCommit,
@@ -223,9 +235,7 @@
 		// The process stopped after startWithNodeID stored the first entry of a
 		// new log and before it stored the NodeID.
 		d.node.ID = replicator.NodeID(d.VM)
-		if err := d.Journal.SaveNodeID(d.node.ID); err != nil {
-			return err
-		}
+		return d.persist(func() error { return d.Journal.SaveNodeID(d.node.ID) }, d.processOutput)
 	default:
 		d.startWithoutData()
 	}
@@ -242,15 +252,23 @@
 	return ids
 }
 
-func (d *Driver) tick() {
-	if d.probe != nil {
+func (d *Driver) tick() error {
+	switch {
+	case d.refused != nil:
+		return d.retryWrite()
+	case d.probe != nil:
 		d.sendProbes()
-		return
+	default:
+		d.node.Tick()
 	}
-	d.node.Tick()
+	return nil
 }
 
 func (d *Driver) handleInboxItem(item any) {
+	if d.refused != nil {
+		d.handleWhileRefused(item)
+		return
+	}
 	switch item := item.(type) {
 	case replicator.Message:
 		d.handleMessage(item)
@@ -282,7 +300,7 @@
 	if d.storageErr != nil {
 		return d.storageErr
 	}
-	if d.probe != nil {
+	if d.probe != nil || d.refused != nil {
 		return nil
 	}
 	for {
@@ -290,19 +308,13 @@
 		if out.IsEmpty() {
 			break
 		}
-		if err := d.Journal.Save(out); err != nil {
+		err := d.persist(func() error { return d.Journal.Save(out) }, func() error { return d.finishOutput(out) })
+		if d.refused != nil {
+			// Once the write succeeds, they would be those of a leader or candidate that has stepped down.
+			out.Messages = nil
 			return err
 		}
-		if n := len(out.Entries); n > 0 {
-			d.node.MarkPersisted(out.Entries[n-1].Index)
-		}
-		// The status must be updated before the messages are sent, so that no
-		// reader sees an older term in it than in these messages.
-		d.publishStatus()
-		for _, m := range out.Messages {
-			d.Sender.SendLogMessage(VMOf(m.To), d.Name, m)
-		}
-		if err := d.applyOutput(out); err != nil {
+		if err != nil {
 			return err
 		}
 	}
@@ -310,6 +322,20 @@
 	return nil
 }
 
+// finishOutput sends and applies an output that is persisted.
+func (d *Driver) finishOutput(out replicator.Output) error {
+	if n := len(out.Entries); n > 0 {
+		d.node.MarkPersisted(out.Entries[n-1].Index)
+	}
+	// The status must be updated before the messages are sent, so that no
+	// reader sees an older term in it than in these messages.
+	d.publishStatus()
+	for _, m := range out.Messages {
+		d.Sender.SendLogMessage(VMOf(m.To), d.Name, m)
+	}
+	return d.applyOutput(out)
+}
+
 func (d *Driver) applyOutput(out replicator.Output) error {
 	if out.Snapshot != nil {
 		if err := d.StateMachine.Restore(out.Snapshot.Data); err != nil {
@@ -363,7 +389,8 @@
 	}
 	d.lastSnapshotBytes = len(s.Data)
 	_ = level.Info(d.Logger).Log("msg", "took a snapshot of the state; storing it and compacting the log", "index", s.Index, "bytes", len(s.Data))
-	return d.Journal.SaveSnapshot(s, d.node.EntriesAfter(s.Index))
+	entries := d.node.EntriesAfter(s.Index)
+	return d.persist(func() error { return d.Journal.SaveSnapshot(s, entries) }, func() error { return nil })
 }
 
 // VMOf returns the VM on which a voter runs.
--- a/internal/driver/probe.go
+++ b/internal/driver/probe.go
@@ -29,7 +29,6 @@
 	switch d.StartMode {
 	case BootstrapLog:
 		d.startWithNodeID(replicator.NodeID(d.VM), replicator.BootstrapState(d.initialVoterIDs()))
-		d.node.ShortenElectionTimeout()
 	case JoinLog:
 		d.startWithNodeID(newNodeID(d.VM, d.Rand), replicator.PersistedState{})
 	default:
@@ -95,15 +94,19 @@
 
 func (d *Driver) startWithNodeID(id replicator.NodeID, s replicator.PersistedState) {
 	d.probe = nil
-	if err := d.Journal.Save(replicator.Output{State: &s.State, Entries: s.Entries}); err != nil {
-		d.storageErr = err
-		return
-	}
-	if err := d.Journal.SaveNodeID(id); err != nil {
-		d.storageErr = err
-		return
+	write := func() error {
+		if err := d.Journal.Save(replicator.Output{State: &s.State, Entries: s.Entries}); err != nil {
+			return err
+		}
+		return d.Journal.SaveNodeID(id)
 	}
-	d.node.ID = id
-	d.node.Start(s)
-	_ = level.Info(d.Logger).Log("msg", "voter started with an empty data folder", "id", id)
+	d.storageErr = d.persist(write, func() error {
+		d.node.ID = id
+		d.node.Start(s)
+		if d.StartMode == BootstrapLog {
+			d.node.ShortenElectionTimeout()
+		}
+		_ = level.Info(d.Logger).Log("msg", "voter started with an empty data folder", "id", id)
+		return nil
+	})
 }
--- a/internal/driver/status.go
+++ b/internal/driver/status.go
@@ -25,6 +25,9 @@
 	// CommittedInTerm is set on a leader that has committed an entry of its term.
 	// CommitIndex then covers everything that earlier leaders committed.
 	CommittedInTerm bool `json:"settled"`
+	// DiskRefuses is set while the disk refuses writes and the voter takes no part in the
+	// log. It then knows no leader.
+	DiskRefuses bool `json:"disk_refuses"`
 }
 
 type lockedStatus struct {
@@ -41,12 +44,23 @@
 
 func (d *Driver) publishStatus() {
 	n := d.node
+	if n == nil {
+		d.setStatus(Status{Name: d.Name, DiskRefuses: true})
+		return
+	}
 	s := Status{
 		Name: d.Name, ID: n.ID, Role: n.Role().String(), Term: n.Term(),
 		Leader: VMOf(n.Leader()), LeaderID: n.Leader(), Voters: n.Voters(),
 		FirstIndex: n.FirstIndex(), LastIndex: n.LastIndex(), CommitIndex: n.CommitIndex(),
 		AppliedIndex: d.appliedIndex, Probing: d.probe != nil, PendingProposals: len(d.pending), CommittedInTerm: n.HasCommittedInTerm(),
 	}
+	if d.refused != nil {
+		s.DiskRefuses, s.Leader, s.LeaderID, s.CommittedInTerm = true, "", "", false
+	}
+	d.setStatus(s)
+}
+
+func (d *Driver) setStatus(s Status) {
 	d.status.mu.Lock()
 	defer d.status.mu.Unlock()
 	d.status.s = s
--- a/internal/journaler/fake_test.go
+++ b/internal/journaler/fake_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io/fs"
 	"slices"
+	"syscall"
 )
 
 var errSimulatedCrash = errors.New("simulated power loss")
@@ -25,7 +26,11 @@
 	crashAtOp int
 	opCount   int
 	crashed   bool
-	files     map[string]*fakeFile
+	// fullFromOp and fullOps are the first operation that a full disk refuses, and how many it
+	// refuses. Names can be removed from a full disk.
+	fullFromOp int
+	fullOps    int
+	files      map[string]*fakeFile
 	// syncedFiles holds the names and files as of the last SyncFolder.
 	syncedFiles map[string]*fakeFile
 }
@@ -48,6 +53,9 @@
 	if d.crashed {
 		return errSimulatedCrash
 	}
+	if d.fullFromOp > 0 && d.opCount >= d.fullFromOp && d.opCount < d.fullFromOp+d.fullOps {
+		return syscall.ENOSPC
+	}
 	return nil
 }
 
@@ -78,7 +86,7 @@
 }
 
 func (d *fakeFolder) Remove(name string) error {
-	if err := d.countOp(); err != nil {
+	if err := d.countOp(); err != nil && !errors.Is(err, syscall.ENOSPC) {
 		return err
 	}
 	delete(d.files, name)
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -9,10 +9,12 @@
 package journaler
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/zeebo/errs"
 
@@ -21,8 +23,12 @@
 	"trefoilhead.org/trefoilhead/internal/replicator"
 )
 
-// Error is the class of every error of this package.
-var Error = errs.Class("journal")
+// Error is the class of every error of this package. RefusedError is the class of those of
+// writes that the disk has refused, after which Recover may succeed.
+var (
+	Error        = errs.Class("journal")
+	RefusedError = errs.Class("refused write")
+)
 
 // File names.
 const (
@@ -39,10 +45,12 @@
 
 	segmentNumber uint64
 	lastSequence  uint64
+	nodeID        replicator.NodeID
 	segmentFile   File
-	hardState     replicator.HardState
-	// writeErr is the error of the first failed write. Nothing is written after
-	// it, because the contents of the disk are unknown after a failed sync.
+	// stored is the state that is known to be on disk, without the snapshot.
+	stored replicator.PersistedState
+	// writeErr is the error of the first refused write. Nothing is written to the
+	// segment after it, because what a failed write or sync leaves there is unknown.
 	writeErr error
 }
 
@@ -61,14 +69,27 @@
 		r.SnapshotIndex, r.Entries, r.Records, r.Segments, r.DroppedBytes)
 }
 
-// Open reads the stored state and starts a new segment for later writes.
+// Open reads the stored state and starts a new segment for later writes. If only the
+// latter fails, the state is returned together with a RefusedError, and Recover starts
+// the segment later.
 func (j *Journal) Open() (replicator.PersistedState, Recovery, error) {
 	var s replicator.PersistedState
 	var rec Recovery
 	names, err := j.FileSystem.List()
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT):
+		// The folder cannot be created, so there is nothing to read.
+		return s, rec, j.setWriteErr(err)
+	case err != nil:
 		return s, rec, Error.Wrap(err)
 	}
+	if slices.Contains(names, identityName) {
+		id, err := j.FileSystem.ReadFile(identityName)
+		if err != nil {
+			return s, rec, Error.Wrap(err)
+		}
+		j.nodeID = replicator.NodeID(id)
+	}
 	if s.Snapshot, err = j.readSnapshot(names); err != nil {
 		return s, rec, err
 	}
@@ -85,8 +106,8 @@
 		return s, rec, err
 	}
 	rec.Entries = len(s.Entries)
-	j.hardState = s.State
-	return s, rec, j.startSegment(segments, s)
+	j.stored = replicator.PersistedState{State: s.State, Entries: slices.Clone(s.Entries)}
+	return s, rec, j.startSegment(segments, j.stored)
 }
 
 // readSegments replays the newest segment whose first record is intact. That
@@ -209,9 +230,24 @@
 // state.
 func (j *Journal) startSegment(old []uint64, s replicator.PersistedState) error {
 	if len(old) > 0 {
-		j.segmentNumber = old[len(old)-1]
+		j.segmentNumber = max(j.segmentNumber, old[len(old)-1])
 	}
 	j.segmentNumber++
+	if err := j.createSegment(s); err != nil {
+		// The old segments still hold the state. The unfinished one would only take room.
+		_ = j.FileSystem.Remove(segmentName(j.segmentNumber))
+		return err
+	}
+	j.stored = s
+	for _, n := range old {
+		if err := j.FileSystem.Remove(segmentName(n)); err != nil {
+			return j.setWriteErr(err)
+		}
+	}
+	return nil
+}
+
+func (j *Journal) createSegment(s replicator.PersistedState) error {
 	f, err := j.FileSystem.Create(segmentName(j.segmentNumber))
 	if err != nil {
 		return j.setWriteErr(err)
@@ -223,25 +259,44 @@
 	if err := j.FileSystem.SyncFolder(); err != nil {
 		return j.setWriteErr(err)
 	}
-	for _, n := range old {
-		if err := j.FileSystem.Remove(segmentName(n)); err != nil {
-			return j.setWriteErr(err)
+	return nil
+}
+
+// Recover makes the Journal accept writes again after one was refused. It writes the state
+// of the last successful Save to a new segment and never touches the old one again, since
+// a failed sync does not show which of its last bytes are on disk.
+func (j *Journal) Recover() error {
+	if j.writeErr == nil {
+		return nil
+	}
+	_ = j.Close()
+	j.segmentFile = nil
+	names, err := j.FileSystem.List()
+	if err != nil {
+		return j.setWriteErr(err)
+	}
+	segments, err := segmentNumbers(names)
+	if err != nil {
+		return err
+	}
+	for _, name := range []string{snapshotTempName, identityTempName} {
+		if slices.Contains(names, name) {
+			_ = j.FileSystem.Remove(name)
 		}
 	}
-	return nil
+	j.writeErr = nil
+	return j.startSegment(segments, j.stored)
 }
 
 // Save stores the state, snapshot and entries of an Output and returns once they
-// are synced. After an error, all further writes fail.
+// are synced. After a RefusedError all further writes fail until Recover has succeeded;
+// the Output is then to be saved again.
 func (j *Journal) Save(o replicator.Output) error {
-	if o.State != nil {
-		j.hardState = *o.State
-	}
 	if o.Snapshot != nil {
 		// The hard state is stored before the snapshot, so that a crash in
 		// between does not leave a snapshot of a later term than the stored one.
 		if o.State != nil {
-			if err := j.writeRecord(record{State: o.State}); err != nil {
+			if err := j.append(record{State: o.State}); err != nil {
 				return err
 			}
 		}
@@ -250,7 +305,21 @@
 	if o.State == nil && len(o.Entries) == 0 {
 		return nil
 	}
-	return j.writeRecord(record{State: o.State, Entries: o.Entries})
+	return j.append(record{State: o.State, Entries: o.Entries})
+}
+
+// append writes a record to the current segment and adds it to the stored state.
+func (j *Journal) append(r record) error {
+	if err := j.writeRecord(r); err != nil {
+		return err
+	}
+	if r.State != nil {
+		j.stored.State = *r.State
+	}
+	if len(r.Entries) > 0 {
+		j.stored.Entries = append(entriesBefore(j.stored.Entries, r.Entries[0].Index), r.Entries...)
+	}
+	return nil
 }
 
 // SaveSnapshot stores a snapshot and replaces all stored entries by the given
@@ -261,34 +330,34 @@
 	}
 	body, err := marshaler.Marshal(s)
 	if err != nil {
-		return j.setWriteErr(err)
+		return Error.Wrap(err)
+	}
+	if entries, err = entriesAfterSnapshot(entries, s); err != nil {
+		return err
 	}
 	if err := j.replaceFile(snapshotTempName, snapshotName, frame(body)); err != nil {
 		return err
 	}
 	old := j.segmentNumber
 	_ = j.segmentFile.Close()
-	entries, err = entriesAfterSnapshot(entries, s)
-	if err != nil {
-		return j.setWriteErr(err)
-	}
-	return j.startSegment([]uint64{old}, replicator.PersistedState{State: j.hardState, Entries: entries})
+	return j.startSegment([]uint64{old}, replicator.PersistedState{State: j.stored.State, Entries: slices.Clone(entries)})
 }
 
 // replaceFile replaces a file atomically: it writes and syncs a temporary file and
 // renames it.
 func (j *Journal) replaceFile(temporary, name string, data []byte) error {
+	if j.writeErr != nil {
+		return j.writeErr
+	}
 	f, err := j.FileSystem.Create(temporary)
 	if err != nil {
 		return j.setWriteErr(err)
 	}
-	if _, err := f.Write(data); err != nil {
-		return j.setWriteErr(err)
-	}
-	if err := f.Sync(); err != nil {
-		return j.setWriteErr(err)
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
 	}
-	if err := f.Close(); err != nil {
+	if err = errors.Join(err, f.Close()); err != nil {
 		return j.setWriteErr(err)
 	}
 	if err := j.FileSystem.Rename(temporary, name); err != nil {
@@ -308,7 +377,7 @@
 	r.Sequence = j.lastSequence
 	b, err := encodeRecord(r)
 	if err != nil {
-		return j.setWriteErr(err)
+		return Error.Wrap(err)
 	}
 	if _, err := j.segmentFile.Write(b); err != nil {
 		return j.setWriteErr(err)
@@ -320,30 +389,22 @@
 }
 
 func (j *Journal) setWriteErr(err error) error {
-	j.writeErr = Error.Wrap(err)
+	j.writeErr = Error.Wrap(RefusedError.Wrap(err))
 	return j.writeErr
 }
 
-// NodeID returns the voter's id that SaveNodeID stored, or an empty id if none is
-// stored.
-func (j *Journal) NodeID() (replicator.NodeID, error) {
-	names, err := j.FileSystem.List()
-	if err != nil {
-		return "", Error.Wrap(err)
-	}
-	for _, name := range names {
-		if name == identityName {
-			b, err := j.FileSystem.ReadFile(name)
-			return replicator.NodeID(b), Error.Wrap(err)
-		}
-	}
-	return "", nil
-}
+// NodeID returns the voter's id that Open has found or SaveNodeID has stored, or an empty
+// id if none is stored.
+func (j *Journal) NodeID() replicator.NodeID { return j.nodeID }
 
 // SaveNodeID stores the voter's id permanently. A voter keeps its id until the
 // folder is lost.
 func (j *Journal) SaveNodeID(id replicator.NodeID) error {
-	return j.replaceFile(identityTempName, identityName, []byte(id))
+	if err := j.replaceFile(identityTempName, identityName, []byte(id)); err != nil {
+		return err
+	}
+	j.nodeID = id
+	return nil
 }
 
 // Close closes the current segment. All saved data has been synced before.
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -123,7 +123,7 @@
 			if err != nil {
 				t.Fatalf("%s, second crash at operation %d: %v", name, op, err)
 			}
-			if !slices.ContainsFunc(allowed, func(e expectedState) bool { return e.equals(found) }) {
+			if !containsState(allowed, found) {
 				t.Fatalf("%s, second crash at operation %d: found %+v, want one of %+v", name, op, found, allowed)
 			}
 		}
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -419,6 +419,13 @@
 	n.resetElectionTimer()
 }
 
+// StepDown makes a leader or candidate a follower that knows no leader.
+func (n *Node) StepDown() {
+	if n.role != Follower {
+		n.becomeFollower(n.hardState.Term, "")
+	}
+}
+
 func (n *Node) resetElectionTimer() {
 	n.elapsedTicks = 0
 	n.electionTimeout = n.ElectionTicks + n.Rand.IntN(n.ElectionTicks)
