forwarder, fronter: answer the requests that are left when the process ends

Cause: fronter.Front.shutdown closed all connections half a second before the end of the grace time, whatever the requests had come to.

At that moment requests without an answer now get a final one, 503 if no server can have run them and 502 otherwise; connections are closed 0.3 s later. Streams that are being forwarded still break off, as the callers' rules excuse.

TestRequestsAreAnsweredWhenTheProcessEnds (five cases), TestUnreadRequestIsRefusedWhenTheProcessEnds. Their function did not exist before; the connection was closed instead. A race between closing an idle connection and a request that is read from it was tried with a connection that pauses after reading: net/http drops the request unserved, so that cannot lose it.

--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -1,11 +1,15 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"trefoilhead.org/trefoilhead/internal/piper"
 )
 
 // TestEndingFrontTakesOnlyWhatEndsInTime guards against answers that are cut off at the end
@@ -33,3 +37,80 @@
 		})
 	}
 }
+
+// TestRequestsAreAnsweredWhenTheProcessEnds guards against requests that end with their connection, and without an
+// answer, when the process ends before they do.
+func TestRequestsAreAnsweredWhenTheProcessEnds(t *testing.T) {
+	halfAnswer := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Id"))
+		return neverRespond(c, r)
+	}
+	refusal := func(c net.Conn, _ *http.Request) bool {
+		time.Sleep(600 * time.Millisecond)
+		_, err := fmt.Fprint(c, notRunResponse)
+		return err == nil
+	}
+	for name, test := range map[string]struct {
+		target  string
+		respond func(net.Conn, *http.Request) bool
+		status  int
+		stage   stage
+	}{
+		"no header, may run once":  {"/once/x", neverRespond, http.StatusBadGateway, stageAwaiting},
+		"no header, may be sent":   {"/any/x", neverRespond, http.StatusBadGateway, stageAwaiting},
+		"no header of a stream":    {"/stream/x", neverRespond, http.StatusBadGateway, stageAwaiting},
+		"half of the answer":       {"/once/x", halfAnswer, http.StatusBadGateway, stageAnswering},
+		"the server refuses later": {"/once/x", refusal, http.StatusBadGateway, stageAwaiting},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": test.respond}, func(tb *testbed) {
+				time.AfterFunc(500*time.Millisecond, func() {
+					for q := range tb.requests {
+						if got := q.currentStage(); got != test.stage {
+							t.Errorf("the request is at stage %s, want %s", got, test.stage)
+						}
+					}
+					tb.EndRequests()
+				})
+				start := time.Now()
+				res := tb.call(context.Background(), "POST", test.target, "b")
+				if res.cut || res.status != test.status || time.Since(start) > 600*time.Millisecond {
+					t.Errorf("status %d, cut %v after %s; want status %d", res.status, res.cut, time.Since(start), test.status)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestUnreadRequestIsRefusedWhenTheProcessEnds guards against a body that arrives slowly and is cut off without an
+// answer.
+func TestUnreadRequestIsRefusedWhenTheProcessEnds(t *testing.T) {
+	withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": completeResponse()}, func(tb *testbed) {
+		front, caller := piper.Host{Network: tb.net, Name: "front"}, piper.Host{Network: tb.net, Name: "caller"}
+		l, err := front.Listen(context.Background(), "tcp", "front:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: tb.Forwarder, ReadHeaderTimeout: time.Minute}
+		go func() { _ = server.Serve(l) }()
+		defer func() { _ = server.Close() }()
+		c, err := caller.DialContext(context.Background(), "tcp", "front:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprint(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nId: q1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+		time.Sleep(500 * time.Millisecond)
+		tb.EndRequests()
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if runs := len(tb.backends["first"].receivedIDs()); resp.StatusCode != http.StatusServiceUnavailable || runs > 0 {
+			t.Errorf("status %d, %d runs", resp.StatusCode, runs)
+		}
+		tb.net.Kill("caller")
+	})
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -90,10 +90,16 @@
 
 // send sends the request to a server and reads the header of the response. The
 // exchange is nil unless the result is resultResponse.
-func (q *request) send(c chooser.Choice, lastEventID string) (*exchange, sendResult) {
+func (q *request) send(c chooser.Choice, lastEventID string) (_ *exchange, result sendResult) {
 	f := q.f
 	s := c.Server
 	chosenAt := time.Now()
+	q.stage.Store(int32(stageSending))
+	defer func() {
+		if result != resultResponse {
+			q.stage.Store(int32(stageChoosing))
+		}
+	}()
 	limit := 0
 	if svc := q.catalog.Service(q.service); svc != nil && svc.MaxConnections > 0 {
 		f.mu.Lock()
@@ -126,6 +132,7 @@
 	if err := x.writeRequest(lastEventID); err != nil {
 		return x.fail(err)
 	}
+	q.stage.Store(int32(stageAwaiting))
 	return x.readResponseHeader()
 }
 
@@ -246,9 +253,11 @@
 		return x.fail(errors.New("the answer is not signed, status " + strconv.Itoa(status)))
 	case success:
 		q.possibleRuns++
+		q.stage.Store(int32(stageAnswering))
 		return x, resultResponse
 	}
 	q.possibleRuns++
+	q.stage.Store(int32(stageAnswering))
 	x.updateChooser(func(c *chooser.Chooser, now time.Time) { c.RecordFailure(now, x.server) })
 	return x, resultResponse
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -156,7 +156,12 @@
 	inFlight      atomic.Int64
 	lastRequestAt atomic.Int64
 
-	mu           sync.Mutex
+	// ending is set once the requests in flight have been ended.
+	ending atomic.Bool
+
+	mu sync.Mutex
+	// requests holds the requests that are being served.
+	requests     map[*request]struct{}
 	chooser      *chooser.Chooser
 	retryBudgets map[identifier.Service]*retryBudget
 	// share is this front's part of what all fronts share.
@@ -204,6 +209,7 @@
 	}
 	f.retryBudgets = map[identifier.Service]*retryBudget{}
 	f.activeExchanges = map[*exchange]struct{}{}
+	f.requests = map[*request]struct{}{}
 	f.demands = map[demandKey]*Demand{}
 	f.startedAt = f.Elapsed()
 	if f.Metrics == nil {
@@ -302,6 +308,7 @@
 	}
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	defer q.track()()
 	f.lastRequestAt.Store(int64(f.Elapsed()))
 	if !q.validate() {
 		return
@@ -310,11 +317,12 @@
 		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
 	q.ctx = ctx
 	// A large body takes long to hash, so that is done before the lock is taken.
 	q.digest()
+	q.stage.Store(int32(stageChoosing))
 	if !f.recordDemand(q) {
 		q.respondError(http.StatusServiceUnavailable, outcomeIsolated, isolationRetryAfter)
 		return
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -21,10 +22,14 @@
 
 // request is a caller's request that is being served.
 type request struct {
-	f       *Forwarder
-	w       http.ResponseWriter
-	r       *http.Request
-	ctx     context.Context
+	f *Forwarder
+	w http.ResponseWriter
+	r *http.Request
+	// ctx ends with the caller's connection, at the deadline, and by cancel.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// stage holds a value of type stage.
+	stage   atomic.Int32
 	info    RequestInfo
 	catalog *cataloger.Catalog
 	route   *cataloger.Route
@@ -159,6 +164,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		q.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	case err != nil && q.f.ending.Load():
+		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
 	case err != nil:
 		// The caller disconnected or sent too slowly; the response may not reach it.
 		q.lastError = err.Error()
@@ -349,7 +356,7 @@
 		version = q.catalog.Version
 	}
 	sinceConfirmed, _ := q.f.SinceConfirmed()
-	_ = level.Info(q.f.Logger).Log("msg", "request", "id", q.info.ID, "digest", q.digest().Short(), "status", status, "outcome", outcome, "route", route,
+	_ = level.Info(q.f.Logger).Log("msg", "request", "id", q.info.ID, "digest", q.digest().Short(), "status", status, "outcome", outcome, "stage", q.currentStage(), "route", route,
 		"team", q.teamName(), "model", q.info.Model, "servers", joinIDs(q.tried), "runs", q.possibleRuns,
 		"rejections", q.rejections, "unreached", q.connectFailures, "limited", q.limitedServers, "waiting", q.waitingServers, "retry_denied", q.wasRetryDenied(), "fault", q.lastError, "expected_ms", q.predictedDelay.Milliseconds(), "first_ms", q.timeToFirstEvent.Milliseconds(),
 		"objective_ms", objective.Milliseconds(), "gap_ms", q.longestGap.Milliseconds(), "gap_objective_ms", gapObjective.Milliseconds(),
@@ -383,13 +390,17 @@
 
 // writeFailure writes the error response for a request that got no response from a
 // server: 503 only if it is certain that no server ran the request, otherwise 504 if
-// the deadline has passed and 502 if not. If the caller has disconnected, it aborts
+// the deadline has passed and 502 if not, as when the process ends. If the caller has disconnected, it aborts
 // the connection instead.
 func (q *request) writeFailure(c chooser.Choice) {
 	switch {
 	case q.r.Context().Err() != nil:
 		q.recordOutcome(0, outcomeCallerLeft)
 		AbortResponse(q.r)
+	case q.f.ending.Load() && q.possibleRuns == 0:
+		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
+	case q.f.ending.Load():
+		q.respondError(http.StatusBadGateway, outcomeStopping, 0)
 	case q.possibleRuns == 0 && q.ctx.Err() == nil:
 		c = q.refusalOfWaiting(c)
 		reason, retryAfter := c.Reason, c.RetryAfter
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -63,8 +63,9 @@
 	// stopCheckInterval is how often requests in flight are looked for meanwhile.
 	stopCheckInterval = 20 * time.Millisecond
 	// shutdownMargin is how long before the end of the grace period the requests that
-	// are still in flight are aborted.
-	shutdownMargin = 500 * time.Millisecond
+	// are still in flight are ended, and finalAnswerTime how long their final answers may take.
+	shutdownMargin  = 500 * time.Millisecond
+	finalAnswerTime = 300 * time.Millisecond
 )
 
 // Front is a front process. Exported fields are set before Run.
@@ -259,7 +260,8 @@
 // balancer sends new connections elsewhere, and closes connections after their next
 // response. After noticeDelay it takes only requests that end in the time that is left.
 // After drainDelay it closes the listener once no more requests come: connections that
-// wait to be accepted are reset when it is closed.
+// wait to be accepted are reset when it is closed. Requests that are left at the end get a
+// final answer.
 func (f *Front) shutdown(server *http.Server) {
 	start := time.Now()
 	grace := f.Settings.Bounds.ShutdownGrace()
@@ -271,7 +273,9 @@
 	f.forwarder.SetEnd(end)
 	time.Sleep(min(drainDelay, grace/2) - min(noticeDelay, grace/2))
 	f.awaitQuiet(end)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ending := time.AfterFunc(time.Until(end), f.forwarder.EndRequests)
+	defer ending.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(finalAnswerTime))
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
