forwarder, limiter: lose no stream by moving it from a server that is only slow

Streams broke off although their server was at work and their deadline far (the users' LOST around planned stops, reproduced with real processes).

Cause: on weak evidence of a stall a stream was taken from its server while the retry budget covered one retry. If the next server rejected it, there was none left, and the stream broke off at once. A front that has restarted has no slack for a window, so that is likelier around planned stops.

A move on weak evidence now needs a budget that covers the rejections that may follow. A stream of which the caller has a part waits up to 1 s for the budget or a server, and may go on at a server that it was taken from.

TestSlowStreamIsNotLostByItsMove: cut with 1, 2, 3 and 4 retries before, whole after. TestBrokenStreamWaitsForRetry: cut before, whole after.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -49,6 +49,8 @@
 	tried        []identifier.Server
 	possibleRuns int
 	rejections   int
+	// triedAgainFrom is the number of entries of tried that may be chosen again.
+	triedAgainFrom int
 	// retryReserved is set while a retry has been taken from the budget but not been
 	// made yet, at retryReservedAt in Elapsed time. Both are guarded by the Forwarder's mu.
 	retryReserved   bool
@@ -72,6 +74,8 @@
 	limitedServers int
 	// waitingServers is the number of those that could have taken it but have asked to wait.
 	waitingServers int
+	// headerSent is set once the caller has the header of a stream.
+	headerSent bool
 	// connectFailures counts the connections that could not be opened.
 	connectFailures  int
 	lastError        string
@@ -243,6 +247,10 @@
 		return c
 	}
 	q.limitedServers, q.waitingServers = c.Limited, c.Waiting
+	if q.headerSent {
+		// The caller gets no Retry-After any more.
+		return c
+	}
 	return q.f.chooser.RecordRefusal(now, req, c)
 }
 
@@ -276,7 +284,7 @@
 func (q *request) serverRequest(now time.Time, allowLate bool) chooser.Request {
 	latencyBudget := q.route.LatencyObjective - now.Sub(q.receivedAt)
 	req := chooser.Request{
-		Service: q.service, PromptTokens: q.info.PromptTokens, LatencyBudget: latencyBudget, Exclude: q.tried, AllowLate: allowLate,
+		Service: q.service, PromptTokens: q.info.PromptTokens, LatencyBudget: latencyBudget, Exclude: q.tried[q.triedAgainFrom:], AllowLate: allowLate,
 	}
 	if q.engine != nil {
 		req.Model = q.info.Model
@@ -288,10 +296,7 @@
 // last send ended with the given result. If so, it takes the retry from the budget,
 // unless nothing was sent.
 func (q *request) allowRetry(last sendResult) bool {
-	if q.ctx.Err() != nil || q.possibleRuns >= q.route.MaxAttempts || q.rejections > maxRejections || q.connectFailures > maxConnectFailures {
-		return false
-	}
-	if q.possibleRuns > 0 && !q.route.Retryable() {
+	if !q.hasAttemptsLeft() {
 		return false
 	}
 	if last == resultNotSent {
@@ -308,6 +313,15 @@
 	return true
 }
 
+// hasAttemptsLeft reports whether the request may be sent to one more server, as far as its route, its
+// deadline and the former attempts allow.
+func (q *request) hasAttemptsLeft() bool {
+	if q.possibleRuns > 0 && !q.route.Retryable() {
+		return false
+	}
+	return q.ctx.Err() == nil && q.possibleRuns < q.route.MaxAttempts && q.rejections <= maxRejections && q.connectFailures <= maxConnectFailures
+}
+
 // recordForwarded records that events of a stream were forwarded to the caller.
 func (q *request) recordForwarded(now time.Time) {
 	if !q.lastForwardedAt.IsZero() {
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 )
@@ -92,6 +94,8 @@
 	x.abandoned = true
 	x.silentFor = now.Sub(x.lastEventAt).Round(time.Millisecond)
 	x.q.f.counts.movedRequests.Inc(1)
+	_ = level.Info(x.q.f.Logger).Log("msg", "request moves elsewhere, since its server seems to have stalled", "id", x.q.info.ID, "server", x.server,
+		"early", early, "silent_for", x.silentFor, "events", x.eventCount, "since_last_response", x.q.f.chooser.SinceLastResponse(now, x.server).Round(time.Millisecond))
 	_ = x.conn.SetDeadline(time.Unix(1, 0))
 	return true
 }
@@ -115,6 +119,11 @@
 	if c.Server == nil || early && !x.meetsObjective(now, c.PredictedDelay) {
 		return false
 	}
+	if early && q.f.retryBudget(q.service).Left(q.f.Elapsed()) <= maxRejections {
+		// The server may be at work. Other servers may reject the request, each of which takes a
+		// retry, and the request must not end because there is none left.
+		return false
+	}
 	return q.reserveSend(now, c)
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -25,9 +25,18 @@
 	lastEventID    int64
 	hasLastEventID bool
 	flusher        *http.ResponseController
+	// waited is how long the stream has waited to go on at another server.
+	waited time.Duration
 }
 
-const streamBufferSize = 4 << 10
+const (
+	streamBufferSize = 4 << 10
+	// maxResumeWait bounds how long a broken stream waits until another server may take it, and
+	// resumePollInterval is the time between two attempts. The retry budget of a busy front earns a
+	// retry within that time.
+	maxResumeWait      = time.Second
+	resumePollInterval = 50 * time.Millisecond
+)
 
 // serveStream forwards a request whose response is an event stream.
 func (q *request) serveStream() {
@@ -36,7 +45,12 @@
 	for {
 		choice = q.chooseServer(q.possibleRuns > 0)
 		if choice.Server == nil {
-			break
+			if choice.Reason == outcomeIsolated || !s.wait() {
+				break
+			}
+			// The servers that were tried are better than none.
+			q.triedAgainFrom = len(q.tried)
+			continue
 		}
 		x, result := q.send(choice, s.resumeAfter())
 		if result == resultResponse {
@@ -46,7 +60,7 @@
 			}
 		}
 		choice = chooser.Choice{}
-		if !q.allowRetry(result) {
+		if !s.awaitRetry(result) {
 			break
 		}
 	}
@@ -62,6 +76,31 @@
 	q.writeFailure(choice)
 }
 
+// awaitRetry reports whether the request may be sent to one more server. While the retry budget does not allow
+// it, a stream of which the caller has a part waits: it has no other use for that part.
+func (s *stream) awaitRetry(last sendResult) bool {
+	for !s.q.allowRetry(last) {
+		if !s.wait() {
+			return false
+		}
+	}
+	return true
+}
+
+// wait waits for resumePollInterval, and reports false if the stream may not go on afterwards.
+func (s *stream) wait() bool {
+	if !s.headerSent || !s.q.hasAttemptsLeft() || s.waited >= maxResumeWait {
+		return false
+	}
+	s.waited += resumePollInterval
+	select {
+	case <-s.q.ctx.Done():
+		return false
+	case <-time.After(resumePollInterval):
+		return true
+	}
+}
+
 // resumeAfter returns the ID of the event after which the next server has to resume,
 // or an empty string if the caller has received no event with an ID.
 func (s *stream) resumeAfter() string {
@@ -198,7 +237,7 @@
 // writeHeader sends the response header, which is that of the first server that
 // responds.
 func (s *stream) writeHeader(x *exchange) {
-	s.headerSent = true
+	s.headerSent, s.q.headerSent = true, true
 	s.mediaType = mediaTypeOf(x.resp)
 	s.q.timeToFirstEvent = time.Since(s.q.receivedAt)
 	s.q.f.counts.firstEventMS.Update(s.q.timeToFirstEvent.Milliseconds())
--- a/internal/limiter/retry.go
+++ b/internal/limiter/retry.go
@@ -99,8 +99,7 @@
 
 // AllowRetry reports whether one more retry is allowed now, and counts it if so.
 func (b *RetryBudget) AllowRetry(now time.Duration) bool {
-	u := b.Usage(now)
-	if u.Retries >= u.Limit() {
+	if b.Left(now) == 0 {
 		return false
 	}
 	h := b.historyAt(now)
@@ -111,6 +110,12 @@
 	return true
 }
 
+// Left returns the number of retries that are allowed now.
+func (b *RetryBudget) Left(now time.Duration) int {
+	u := b.Usage(now)
+	return max(u.Limit()-u.Retries, 0)
+}
+
 // takeEarned takes the earned retry that expires first, and reports whether there was one.
 func (b *RetryBudget) takeEarned(now time.Duration) bool {
 	last := b.earnedIndex(now)
