forwarder: refuse a request whose body has not come by its time limit

Cause: the deadline bounds the context of the exchange with servers; nothing bounded the reading of the body.

The loop that looks for stalled requests now also ends the reading of bodies that are late. The request is refused with 408: it has not run.

TestBodyThatComesTooLateIsRefused: before, no answer within 100 ms after the limit (the test waits no longer); after, it passes. Not known to be what the users saw; found while looking for it.

--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -14,8 +14,10 @@
 type stage int32
 
 const (
+	// stageChecking means that the header is being checked.
+	stageChecking stage = iota
 	// stageReading means that the caller's body is being read.
-	stageReading stage = iota
+	stageReading
 	// stageChoosing means that a server is being chosen.
 	stageChoosing
 	// stageSending means that a connection is being opened or the request written.
@@ -29,6 +31,8 @@
 // String returns the stage in lower case.
 func (s stage) String() string {
 	switch s {
+	case stageChecking:
+		return "checking"
 	case stageReading:
 		return "reading"
 	case stageChoosing:
@@ -72,11 +76,24 @@
 		_ = level.Warn(f.Logger).Log("msg", "request is ended with the process", "id", q.info.ID, "stage", q.currentStage(),
 			"received_ago_ms", time.Since(q.receivedAt).Milliseconds())
 		q.cancel()
-		if q.currentStage() != stageReading {
-			continue
+		if q.currentStage() == stageReading {
+			q.endReading()
 		}
-		if err := http.NewResponseController(q.w).SetReadDeadline(time.Now()); err != nil && !errors.Is(err, http.ErrNotSupported) {
-			_ = level.Info(f.Logger).Log("msg", "cannot end the reading of a request", "id", q.info.ID, "err", err)
+	}
+}
+
+// endLateReading ends the reading of bodies that take longer than their request may. The caller holds mu.
+func (f *Forwarder) endLateReading(now time.Time) {
+	for q := range f.requests {
+		if q.currentStage() == stageReading && now.After(q.deadline) {
+			q.endReading()
 		}
 	}
 }
+
+// endReading makes the reading of the body fail.
+func (q *request) endReading() {
+	if err := http.NewResponseController(q.w).SetReadDeadline(time.Now()); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		_ = level.Info(q.f.Logger).Log("msg", "cannot end the reading of a request", "id", q.info.ID, "err", err)
+	}
+}
--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -86,6 +86,20 @@
 // TestUnreadRequestIsRefusedWhenTheProcessEnds guards against a body that arrives slowly and is cut off without an
 // answer.
 func TestUnreadRequestIsRefusedWhenTheProcessEnds(t *testing.T) {
+	expectRefusalOfUnreadRequest(t, http.StatusServiceUnavailable, 500*time.Millisecond, (*testbed).EndRequests)
+}
+
+// TestBodyThatComesTooLateIsRefused guards against requests without an answer at their time limit, because their body has
+// not come yet.
+func TestBodyThatComesTooLateIsRefused(t *testing.T) {
+	const routeTimeout = 3 * time.Second
+	expectRefusalOfUnreadRequest(t, http.StatusRequestTimeout, routeTimeout, func(*testbed) {})
+}
+
+// expectRefusalOfUnreadRequest sends a request whose body does not end, calls act after a time, and checks that the
+// request is refused within 100 ms and did not run.
+func expectRefusalOfUnreadRequest(t *testing.T, status int, after time.Duration, act func(tb *testbed)) {
+	t.Helper()
 	withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": completeResponse()}, func(tb *testbed) {
 		front, caller := piper.Host{Network: tb.net, Name: "front"}, piper.Host{Network: tb.net, Name: "caller"}
 		l, err := front.Listen(context.Background(), "tcp", "front:80")
@@ -100,15 +114,15 @@
 			t.Fatal(err)
 		}
 		_, _ = fmt.Fprint(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nId: q1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
-		time.Sleep(500 * time.Millisecond)
-		tb.EndRequests()
-		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		time.Sleep(after)
+		act(tb)
+		_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = resp.Body.Close() }()
-		if runs := len(tb.backends["first"].receivedIDs()); resp.StatusCode != http.StatusServiceUnavailable || runs > 0 {
+		if runs := len(tb.backends["first"].receivedIDs()); resp.StatusCode != status || runs > 0 {
 			t.Errorf("status %d, %d runs", resp.StatusCode, runs)
 		}
 		tb.net.Kill("caller")
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -358,6 +358,7 @@
 		return false
 	}
 	q.setDeadline()
+	q.stage.Store(int32(stageReading))
 	return q.readBody() && q.keyStillValid()
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -170,8 +171,11 @@
 		q.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	case err != nil && q.f.ending.Load():
 		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.lastError = err.Error()
+		q.respondError(http.StatusRequestTimeout, "body_too_slow", 0)
 	case err != nil:
-		// The caller disconnected or sent too slowly; the response may not reach it.
+		// The caller disconnected; the response may not reach it.
 		q.lastError = err.Error()
 		q.respondError(http.StatusBadRequest, "body_unreadable", 0)
 	}
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -39,8 +39,9 @@
 const suspendedFactor = 2
 
 // MoveStalledRequests interrupts requests whose server has stalled so that they
-// continue at another server, where their route and the retry budget allow that. It
-// must be called every StallCheckInterval.
+// continue at another server, where their route and the retry budget allow that, and
+// ends those whose body has not come by their deadline. It must be called every
+// StallCheckInterval.
 func (f *Forwarder) MoveStalledRequests(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -48,6 +49,7 @@
 		f.chooser.RecordResume(now)
 	}
 	f.lastStallCheck = now
+	f.endLateReading(now)
 	failed := map[identifier.Server]bool{}
 	for x := range f.activeExchanges {
 		silent := now.Sub(x.lastEventAt) > x.silenceLimit() && f.chooser.SinceLastResponse(now, x.server) > serverSilenceThreshold
