coordinator: give fronts no state while the disk refuses writes

A front that started could take an old catalog from a core process whose disk was full, and serve by it for a moment.

Cause: such a process takes no part in the log, so its state grows old, but it still called it confirmed, with its age. It now says that it is not; fronts that follow it go on with what they know and go to another one at once.

TestNewFrontTakesNoStateOfFullDisk: before, one of 12 fronts had catalog 1 in place of 3; after, it passes.

--- a/internal/coordinator/fronts.go
+++ b/internal/coordinator/fronts.go
@@ -104,7 +104,9 @@
 	state, _ := c.keeper.State()
 	u := &peerv1.FrontUpdate{
 		Registry: c.registryID, CatalogVersion: uint64(state.Version), Changes: state.ChangeCount,
-		ConfirmedAgoMs: uint64(ago.Milliseconds()) + 1, Unconfirmed: !confirmed,
+		ConfirmedAgoMs: uint64(ago.Milliseconds()) + 1,
+		// While the disk refuses writes, the state gets older and older.
+		Unconfirmed: !confirmed || c.driver.Status().DiskRefuses,
 	}
 	u.Cores = c.coreInfos(now)
 	u.Fronts = uint32(c.countFronts(now))
--- a/internal/coordinator/full_disk_test.go
+++ b/internal/coordinator/full_disk_test.go
@@ -111,3 +111,34 @@
 		}
 	})
 }
+
+// TestNewFrontTakesNoStateOfFullDisk guards against fronts that start with an old catalog, because they get it from a
+// core process whose disk is full.
+func TestNewFrontTakesNoStateOfFullDisk(t *testing.T) {
+	runInSystem(t, func(s *system) {
+		s.mustPublish(1, "a")
+		time.Sleep(time.Second)
+		s.setDiskFull("b", true)
+		s.mustPublish(2, "a")
+		time.Sleep(time.Second)
+		s.mustPublish(3, "a")
+		time.Sleep(500 * time.Millisecond)
+		var fronts []string
+		for i := range 12 {
+			fronts = append(fronts, fmt.Sprintf("f%d", i))
+			s.startFrontNamed(fronts[i], emptyDialect{})
+		}
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			for _, f := range fronts {
+				if got := s.fronts[f].front.Snapshot().Catalog; got != 0 && got != 3 {
+					t.Fatalf("%s has catalog %d", f, got)
+				}
+			}
+		}
+		for _, f := range fronts {
+			if got := s.fronts[f].front.Snapshot().Catalog; got != 3 {
+				t.Errorf("%s has catalog %d after 2 s", f, got)
+			}
+		}
+	})
+}
