--- a/internal/coordinator/replaced_test.go
+++ b/internal/coordinator/replaced_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -44,3 +45,43 @@
 		})
 	}
 }
+
+// TestCoreProcessesReplacedAtAnyGap guards against a core that does not come back after its second process is lost at another
+// moment than TestCoreProcessesReplacedInSeries plays, or because the first one that was lost led.
+func TestCoreProcessesReplacedAtAnyGap(t *testing.T) {
+	const catchUpTime = 4 * time.Second
+	for _, first := range initialCores {
+		for gap := time.Duration(0); gap <= 11*time.Second; gap += time.Second {
+			t.Run(fmt.Sprintf("%s, %s after it had caught up", first, gap), func(t *testing.T) {
+				t.Parallel()
+				runInSystem(t, func(s *system) {
+					s.mustPublish(1, "a")
+					time.Sleep(2 * time.Second)
+					s.killCores(first)
+					time.Sleep(time.Second)
+					s.startCore("d", false)
+					time.Sleep(catchUpTime + gap)
+					second := "b"
+					if first == "b" {
+						second = "c"
+					}
+					s.mustPublish(2, second)
+					s.killCores(second)
+					if gap%(2*time.Second) == 0 {
+						time.Sleep(time.Second)
+						s.replaceDisk(second)
+						s.startCore(second, false)
+					} else {
+						time.Sleep(2 * time.Second)
+						s.startCore("e", false)
+					}
+					time.Sleep(catchUpTime)
+					s.mustPublish(3, "d")
+					for _, core := range s.runningCores() {
+						s.expectVersion(core, 3)
+					}
+				})
+			})
+		}
+	}
+}
