--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -16,9 +16,7 @@
 // contribute consecutive parts of it.
 type stream struct {
 	q *request
-	// headerSent is set once the response header has been sent to the caller.
-	headerSent bool
-	// mediaType is that of the first server's response. It is valid if headerSent is set.
+	// mediaType is that of the first server's response. It is valid if the request's headerSent is set.
 	mediaType string
 	// lastEventID is the ID of the last event that was written to the caller. It is
 	// valid if hasLastEventID is set.
@@ -64,7 +62,7 @@
 			break
 		}
 	}
-	if s.headerSent {
+	if s.q.headerSent {
 		// The aborted connection shows the caller that the response is incomplete.
 		outcome := outcomeCut
 		if q.r.Context().Err() != nil {
@@ -89,7 +87,7 @@
 
 // wait waits for resumePollInterval, and reports false if the stream may not go on afterwards.
 func (s *stream) wait() bool {
-	if !s.headerSent || !s.q.hasAttemptsLeft() || s.waited >= maxResumeWait {
+	if !s.q.headerSent || !s.q.hasAttemptsLeft() || s.waited >= maxResumeWait {
 		return false
 	}
 	s.waited += resumePollInterval
@@ -115,14 +113,14 @@
 // breaks off, so that the request has to continue at another server.
 func (s *stream) forwardFrom(x *exchange) sendResult {
 	q := s.q
-	if s.headerSent && mediaTypeOf(x.resp) != s.mediaType {
+	if s.q.headerSent && mediaTypeOf(x.resp) != s.mediaType {
 		// An error page is not the rest of the stream, whatever its status.
 		q.lastError = "server responded with the media type " + strconv.Quote(mediaTypeOf(x.resp)) + " in the middle of a stream"
 		x.finish(false, false)
 		return resultMayHaveRun
 	}
 	if x.resp.StatusCode != http.StatusOK {
-		if s.headerSent || q.shouldRetryFailure(x) {
+		if s.q.headerSent || q.shouldRetryFailure(x) {
 			q.lastError = "server responded with " + x.resp.Status
 			x.finish(false, false)
 			return resultMayHaveRun
@@ -133,7 +131,7 @@
 	var writeErr *callerWriteError
 	switch {
 	case errors.Is(err, io.EOF):
-		if !s.headerSent {
+		if !s.q.headerSent {
 			s.writeHeader(x)
 		}
 		x.finish(true, true)
@@ -207,7 +205,7 @@
 			// The previous server already sent this event.
 			continue
 		}
-		if !s.headerSent {
+		if !s.q.headerSent {
 			s.writeHeader(x)
 		}
 		if _, err := (callerWriter{s.q.w}).Write(e.Data); err != nil {
@@ -237,7 +235,7 @@
 // writeHeader sends the response header, which is that of the first server that
 // responds.
 func (s *stream) writeHeader(x *exchange) {
-	s.headerSent, s.q.headerSent = true, true
+	s.q.headerSent = true
 	s.mediaType = mediaTypeOf(x.resp)
 	s.q.timeToFirstEvent = time.Since(s.q.receivedAt)
 	s.q.f.counts.firstEventMS.Update(s.q.timeToFirstEvent.Milliseconds())
