forwarder, fronter: log why a request ends without an answer, and the steps of a planned stop

Callers saw streams end with a closed connection. The request line names the last fault only, so the hypotheses of docs/incidents/lost-answers.md cannot be told apart: whether a server broke off, whether the request was taken from a server that may have been at work, whether the process was ending, and whether the steps of the stop came late. A line of level warn names these for each request that ends without an answer, and each step of a stop is logged with the time since its start and the number of requests in flight.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -297,6 +297,7 @@
 		case x.isolated:
 			q.lastError = "servers crash under such requests"
 		case x.abandoned:
+			q.moves++
 			q.lastError = fmt.Sprintf("moving elsewhere: no events from %s for %s", x.server, x.silentFor)
 		case q.ctx.Err() == nil:
 			c.RecordFailure(now, x.server)
@@ -312,6 +313,7 @@
 		return
 	}
 	q := x.q
+	q.brokenOff++
 	q.f.counts.brokenOff.Inc(1)
 	evidence := x.recordCrash(now)
 	_ = level.Info(q.f.Logger).Log("msg", "answer broke off", "id", q.info.ID, "digest", q.digest().Short(), "server", x.server, "route", q.route.Name, "team", q.teamName(),
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -283,6 +283,9 @@
 // process ends.
 func (f *Forwarder) SetEnd(t time.Time) { f.end.Store(&t) }
 
+// InFlight returns the number of requests that are being served.
+func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
+
 // QuietFor returns how long no request has come or been served.
 func (f *Forwarder) QuietFor() time.Duration {
 	if f.inFlight.Load() > 0 {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -78,7 +78,10 @@
 	// headerSent is set once the caller has the header of a stream.
 	headerSent bool
 	// connectFailures counts the connections that could not be opened.
-	connectFailures  int
+	connectFailures int
+	// moves counts the times that it was taken from a server that had been silent, and brokenOff the
+	// answers that servers broke off.
+	moves, brokenOff int
 	lastError        string
 	timeToFirstEvent time.Duration
 	// lastForwardedAt is when the last event of a stream was forwarded to the caller, and
@@ -374,6 +377,9 @@
 		version = q.catalog.Version
 	}
 	sinceConfirmed, _ := q.f.SinceConfirmed()
+	if outcome == outcomeCut || outcome == outcomeFailed {
+		q.logLoss(outcome)
+	}
 	_ = level.Info(q.f.Logger).Log("msg", "request", "id", q.info.ID, "digest", q.digest().Short(), "status", status, "outcome", outcome, "stage", q.currentStage(), "route", route,
 		"team", q.teamName(), "model", q.info.Model, "servers", joinIDs(q.tried), "runs", q.possibleRuns,
 		"rejections", q.rejections, "unreached", q.connectFailures, "limited", q.limitedServers, "waiting", q.waitingServers, "retry_denied", q.wasRetryDenied(), "fault", q.lastError, "expected_ms", q.predictedDelay.Milliseconds(), "first_ms", q.timeToFirstEvent.Milliseconds(),
@@ -381,6 +387,14 @@
 		"total_ms", time.Since(q.receivedAt).Milliseconds(), "catalog", version, "fresh_ago_ms", sinceConfirmed.Milliseconds())
 }
 
+// logLoss logs what tells the causes of a request without an answer apart: whether servers broke off, whether it was
+// taken from a server that may have been at work, and what this process did meanwhile.
+func (q *request) logLoss(outcome string) {
+	_ = level.Warn(q.f.Logger).Log("msg", "request ends without an answer before its time limit", "id", q.info.ID, "outcome", outcome, "stage", q.currentStage(),
+		"left_ms", q.timeLeft().Milliseconds(), "moves", q.moves, "broken_off", q.brokenOff, "runs", q.possibleRuns, "rejections", q.rejections,
+		"unreached", q.connectFailures, "retry_denied", q.wasRetryDenied(), "stopping", q.f.keepAlivesDisabled.Load(), "ending", q.f.ending.Load(), "fault", q.lastError)
+}
+
 // Outcomes of requests in the log, besides the other reasons of error responses.
 const (
 	outcomeServed     = "served"
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -271,9 +271,14 @@
 	end := start.Add(grace - shutdownMargin)
 	time.Sleep(min(noticeDelay, grace/2))
 	f.forwarder.SetEnd(end)
+	f.logStopStep("refuses requests that may last too long", start)
 	time.Sleep(min(drainDelay, grace/2) - min(noticeDelay, grace/2))
 	f.awaitQuiet(end)
-	ending := time.AfterFunc(time.Until(end), f.forwarder.EndRequests)
+	f.logStopStep("closes its listener", start)
+	ending := time.AfterFunc(time.Until(end), func() {
+		f.logStopStep("ends requests", start)
+		f.forwarder.EndRequests()
+	})
 	defer ending.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(finalAnswerTime))
 	defer cancel()
@@ -284,6 +289,11 @@
 	_ = level.Info(f.Logger).Log("msg", "front process has stopped", "took", time.Since(start), "err", err)
 }
 
+// logStopStep logs a step of the shutdown that began at start.
+func (f *Front) logStopStep(step string, start time.Time) {
+	_ = level.Info(f.Logger).Log("msg", "front process "+step, "after", time.Since(start).Round(time.Millisecond), "in_flight", f.forwarder.InFlight())
+}
+
 // awaitQuiet returns once no request has been in flight for quietTime, at the latest
 // listenerMargin before end.
 func (f *Front) awaitQuiet(end time.Time) {
