forwarder: give an answer up only once another server has gone on with it

Cause: a request was taken from a server that had been silent before another server had it.

One throttled front moved a request whose whole answer lay in its socket.

Change: another server is tried while the exchange with the silent one stays open. The first that has something the caller lacks goes on, the others end. Both count as runs, and each send takes a retry first, as before. A plain answer is not silent while bytes come, and is not moved once the caller has a part of it; nor is a stream whose caller reads slowly. The condition that the budget covers three rejections on weak evidence is gone, since a move risks nothing any more.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -34,12 +34,15 @@
 	resultMayHaveRun
 	// resultResponse means that there is a response.
 	resultResponse
+	// resultSuperseded means that another attempt has gone on with the answer.
+	resultSuperseded
 )
 
 // exchange is a request to one backend server and its response.
 type exchange struct {
-	q      *request
-	server identifier.Server
+	q       *request
+	attempt *attempt
+	server  identifier.Server
 	// incarnation is that of the server.
 	incarnation identifier.Incarnation
 	// serverName names the server and its incarnation, and address is its address.
@@ -64,11 +67,18 @@
 	firstEventAt time.Time
 	sound        bool
 	isolated     bool
-	// abandoned is set when the request is to be moved to another server, and
-	// silentFor is how long the exchange had been silent then.
-	abandoned bool
-	silentFor time.Duration
-	finished  bool
+	// isMoving is set while other servers are tried, because this one has been silent for silentFor. They may be tried
+	// again at nextMoveAt. A pinned exchange cannot be replaced.
+	isMoving   bool
+	silentFor  time.Duration
+	nextMoveAt time.Time
+	pinned     bool
+	finished   bool
+
+	// isRun is set once the exchange counts as a possible run, and heldComments are those that have not been written
+	// to the caller. The request's mu guards both.
+	isRun        bool
+	heldComments []byte
 }
 
 const (
@@ -90,14 +100,14 @@
 
 // send sends the request to a server and reads the header of the response. The
 // exchange is nil unless the result is resultResponse.
-func (q *request) send(c chooser.Choice, lastEventID string) (_ *exchange, result sendResult) {
+func (q *request) send(at *attempt, c chooser.Choice) (_ *exchange, result sendResult) {
 	f := q.f
 	s := c.Server
 	chosenAt := time.Now()
 	q.stage.Store(int32(stageSending))
 	defer func() {
 		if result != resultResponse {
-			q.stage.Store(int32(stageChoosing))
+			q.restoreStage()
 		}
 	}()
 	limit := 0
@@ -106,9 +116,18 @@
 		limit = max(svc.MaxConnections/max(f.share.Processes, 1), 1)
 		f.mu.Unlock()
 	}
-	dialCtx, cancel := context.WithTimeout(q.ctx, dialTimeout)
-	conn, err := q.connect(dialCtx, s.Address, limit)
+	dialCtx, cancel := context.WithTimeout(at.ctx, dialTimeout)
+	var conn *pooler.Conn
+	var err error
+	q.unlocked(func() { conn, err = q.connect(dialCtx, s.Address, limit) })
 	cancel()
+	if at.superseded {
+		q.returnPermit(s.ID)
+		if err == nil {
+			conn.Discard()
+		}
+		return nil, resultSuperseded
+	}
 	if err != nil {
 		q.recordConnectFailure(s.ID, err)
 		return nil, resultNotSent
@@ -118,18 +137,19 @@
 		return nil, resultNotSent
 	}
 	now := time.Now()
-	x := &exchange{q: q, server: s.ID, incarnation: identifier.Incarnation(s.Incarnation), serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
-	// When the caller disconnects or the request's deadline passes, a connection
-	// deadline in the past interrupts reads and writes. stopCancelHook prevents that,
+	x := &exchange{q: q, attempt: at, server: s.ID, incarnation: identifier.Incarnation(s.Incarnation), serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
+	// When the caller disconnects, the request's deadline passes or another attempt has gone on with the answer,
+	// a connection deadline in the past interrupts reads and writes. stopCancelHook prevents that,
 	// and reports false if it has already happened.
-	x.stopCancelHook = context.AfterFunc(q.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	x.stopCancelHook = context.AfterFunc(at.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	f.mu.Lock()
 	f.chooser.RecordSent(now, s.ID, q.info.PromptTokens)
 	f.activeExchanges[x] = struct{}{}
 	f.mu.Unlock()
+	q.open[x] = struct{}{}
 	q.tried = append(q.tried, s.ID)
 	q.predictedDelay = c.PredictedDelay
-	if err := x.writeRequest(lastEventID); err != nil {
+	if err := x.writeRequest(q.answer.resumeAfter()); err != nil {
 		return x.fail(err)
 	}
 	q.stage.Store(int32(stageAwaiting))
@@ -152,6 +172,25 @@
 	return conn, err
 }
 
+// restoreStage sets the stage to that of an exchange that is still open.
+func (q *request) restoreStage() {
+	current := stageChoosing
+	for x := range q.open {
+		current = stageAwaiting
+		if x.resp != nil {
+			current = stageAnswering
+		}
+	}
+	q.stage.Store(int32(current))
+}
+
+// returnPermit returns the permit for a request that is not sent to a server.
+func (q *request) returnPermit(id identifier.Server) {
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	q.f.chooser.Allowance.Return(id)
+}
+
 func (q *request) recordConnectFailure(id identifier.Server, err error) {
 	q.lastError = err.Error()
 	q.connectFailures++
@@ -191,7 +230,8 @@
 	if err := x.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err := x.conn.Write(b.Bytes())
+	var err error
+	q.unlocked(func() { _, err = x.conn.Write(b.Bytes()) })
 	return err
 }
 
@@ -201,7 +241,9 @@
 	q := x.q
 	x.conn.LimitReads(maxResponseHeaderBytes)
 	for stray := 0; ; {
-		resp, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: q.r.Method})
+		var resp *http.Response
+		var err error
+		q.unlocked(func() { resp, err = http.ReadResponse(x.conn.Reader, &http.Request{Method: q.r.Method}) })
 		if err != nil {
 			return x.fail(err)
 		}
@@ -218,7 +260,8 @@
 			return x.fail(errors.New("the answer has no request ID or another one"))
 		}
 		x.conn.LimitReads(maxBufferedResponse)
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		q.unlocked(func() { _, err = io.Copy(io.Discard, resp.Body) })
+		if err != nil {
 			return x.fail(err)
 		}
 		x.conn.LimitReads(maxResponseHeaderBytes)
@@ -242,7 +285,7 @@
 	success := status >= http.StatusOK && status < http.StatusMultipleChoices
 	switch {
 	case x.respInfo.NotRun || status == http.StatusMisdirectedRequest:
-		q.rejections++
+		x.recordRejection()
 		q.lastError = "server rejected with " + strconv.Itoa(status)
 		x.updateChooser(func(c *chooser.Chooser, now time.Time) { c.RecordFailure(now, x.server) })
 		x.finish(x.skipBody(), false)
@@ -252,11 +295,11 @@
 	case !x.respInfo.Signed:
 		return x.fail(errors.New("the answer is not signed, status " + strconv.Itoa(status)))
 	case success:
-		q.possibleRuns++
+		x.recordRun()
 		q.stage.Store(int32(stageAnswering))
 		return x, resultResponse
 	}
-	q.possibleRuns++
+	x.recordRun()
 	q.stage.Store(int32(stageAnswering))
 	x.updateChooser(func(c *chooser.Chooser, now time.Time) { c.RecordFailure(now, x.server) })
 	return x, resultResponse
@@ -267,11 +310,29 @@
 func (x *exchange) skipBody() bool {
 	_ = x.conn.SetReadDeadline(time.Now().Add(maxSkipTime))
 	x.conn.LimitReads(maxSkippedBytes)
-	_, err := io.Copy(io.Discard, x.resp.Body)
+	var err error
+	x.q.unlocked(func() { _, err = io.Copy(io.Discard, x.resp.Body) })
 	x.conn.UnlimitReads()
 	return err == nil
 }
 
+// recordRun counts the exchange as a possible run, once.
+func (x *exchange) recordRun() {
+	if !x.isRun {
+		x.isRun = true
+		x.q.possibleRuns++
+	}
+}
+
+// recordRejection counts the exchange as one that the server did not run.
+func (x *exchange) recordRejection() {
+	x.q.rejections++
+	if x.isRun {
+		x.isRun = false
+		x.q.possibleRuns--
+	}
+}
+
 func (x *exchange) updateChooser(update func(c *chooser.Chooser, now time.Time)) {
 	x.q.f.mu.Lock()
 	defer x.q.f.mu.Unlock()
@@ -280,11 +341,32 @@
 
 // fail ends an exchange that has no usable response.
 func (x *exchange) fail(err error) (*exchange, sendResult) {
-	q := x.q
-	q.possibleRuns++
+	x.recordRun()
+	return nil, x.breakOff(err)
+}
+
+// breakOff ends an exchange whose response is not usable or has broken off, and returns the result.
+func (x *exchange) breakOff(err error) sendResult {
+	if x.attempt.superseded {
+		x.recordSuperseded()
+		x.finish(false, false)
+		return resultSuperseded
+	}
 	x.recordFailure(err)
 	x.finish(false, false)
-	return nil, resultMayHaveRun
+	return resultMayHaveRun
+}
+
+// recordSuperseded records that another server has gone on with the answer.
+func (x *exchange) recordSuperseded() {
+	q := x.q
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	if x.isMoving {
+		q.lastError = fmt.Sprintf("moving elsewhere: no events from %s for %s", x.server, x.silentFor)
+	}
+	_ = level.Info(q.f.Logger).Log("msg", "exchange is ended, since another server has gone on with the answer", "id", q.info.ID, "server", x.server,
+		"was_silent", x.isMoving, "events", x.eventCount, "sent_ago", time.Since(x.sentAt).Round(time.Millisecond))
 }
 
 // recordFailure records why the exchange has no usable response. It counts as a
@@ -296,9 +378,6 @@
 		switch {
 		case x.isolated:
 			q.lastError = "servers crash under such requests"
-		case x.abandoned:
-			q.moves++
-			q.lastError = fmt.Sprintf("moving elsewhere: no events from %s for %s", x.server, x.silentFor)
 		case q.ctx.Err() == nil:
 			c.RecordFailure(now, x.server)
 			x.recordBreakOff(now, err)
@@ -331,6 +410,7 @@
 // the server's earlier failures are forgotten.
 func (x *exchange) finish(complete, success bool) {
 	f := x.q.f
+	delete(x.q.open, x)
 	f.mu.Lock()
 	if x.finished {
 		f.mu.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -305,7 +305,9 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{f: f, w: w, r: r, receivedAt: time.Now(), info: f.Dialect.ParseRequest(r.Header)}
+	q := &request{f: f, w: w, r: r, receivedAt: time.Now(), info: f.Dialect.ParseRequest(r.Header), open: map[*exchange]struct{}{}}
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -331,11 +333,7 @@
 		return
 	}
 	defer q.returnTrial()
-	if q.route.Kind == cataloger.Stream {
-		q.serveStream()
-	} else {
-		q.serveUnary()
-	}
+	q.serve()
 }
 
 // validate checks the request against the catalog and reads its body. If it
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,10 +23,14 @@
 )
 
 // request is a caller's request that is being served.
+//
+// Attempts at other servers may be made in goroutines of their own. mu guards all fields unless said otherwise. Whoever
+// works on the request holds it, except while it waits for a server.
 type request struct {
-	f *Forwarder
-	w http.ResponseWriter
-	r *http.Request
+	f  *Forwarder
+	mu sync.Mutex
+	w  http.ResponseWriter
+	r  *http.Request
 	// ctx ends with the caller's connection, at the deadline, and by cancel.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -50,6 +55,11 @@
 	tried        []identifier.Server
 	possibleRuns int
 	rejections   int
+	// answer is set before the request is sent to a server, and open holds the exchanges that have not ended.
+	answer *answer
+	open   map[*exchange]struct{}
+	// triesFrom holds the attempts that do not count against the limits on those that bring nothing.
+	triesFrom tries
 	// triedAgainFrom is the number of entries of tried that may be chosen again.
 	triedAgainFrom int
 	// retryReserved is set while a retry has been taken from the budget but not been
@@ -79,7 +89,7 @@
 	headerSent bool
 	// connectFailures counts the connections that could not be opened.
 	connectFailures int
-	// moves counts the times that it was taken from a server that had been silent, and brokenOff the
+	// moves counts the times that another server was tried because one had been silent, and brokenOff the
 	// answers that servers broke off.
 	moves, brokenOff int
 	lastError        string
@@ -254,8 +264,8 @@
 		return c
 	}
 	q.limitedServers, q.waitingServers = c.Limited, c.Waiting
-	if q.headerSent {
-		// The caller gets no Retry-After any more.
+	if q.headerSent || len(q.open) > 0 {
+		// The caller gets no Retry-After.
 		return c
 	}
 	return q.f.chooser.RecordRefusal(now, req, c)
@@ -293,6 +303,9 @@
 	req := chooser.Request{
 		Service: q.service, PromptTokens: q.info.PromptTokens, LatencyBudget: latencyBudget, Exclude: q.tried[q.triedAgainFrom:], AllowLate: allowLate,
 	}
+	for x := range q.open {
+		req.Exclude = append(slices.Clip(req.Exclude), x.server)
+	}
 	if q.engine != nil {
 		req.Model = q.info.Model
 	}
@@ -312,7 +325,7 @@
 	}
 	q.f.mu.Lock()
 	defer q.f.mu.Unlock()
-	if last == resultMayHaveRun && !q.mayRepeat() || !q.reserveRetry() {
+	if last != resultRejected && !q.mayRepeat() || !q.reserveRetry() {
 		return false
 	}
 	q.retryReserved = false
@@ -320,13 +333,24 @@
 	return true
 }
 
+// tries counts attempts that bring no answer.
+type tries struct{ rejections, connectFailures int }
+
+// unlocked runs wait without holding mu.
+func (q *request) unlocked(wait func()) {
+	q.mu.Unlock()
+	defer q.mu.Lock()
+	wait()
+}
+
 // hasAttemptsLeft reports whether the request may be sent to one more server, as far as its route, its
 // deadline and the former attempts allow.
 func (q *request) hasAttemptsLeft() bool {
 	if q.possibleRuns > 0 && !q.route.Retryable() {
 		return false
 	}
-	return q.ctx.Err() == nil && q.possibleRuns < q.route.MaxAttempts && q.rejections <= maxRejections && q.connectFailures <= maxConnectFailures
+	return q.ctx.Err() == nil && q.possibleRuns < q.route.MaxAttempts &&
+		q.rejections-q.triesFrom.rejections <= maxRejections && q.connectFailures-q.triesFrom.connectFailures <= maxConnectFailures
 }
 
 // recordForwarded records that events of a stream were forwarded to the caller.
@@ -466,8 +490,12 @@
 }
 
 // shouldRetryFailure reports whether a response is a 5xx error that is to be dropped
-// in favor of a retry at another server. If so, the retry has been reserved.
+// in favor of a retry at another server, for which the retry has been reserved, or a failure while another server is
+// at work.
 func (q *request) shouldRetryFailure(x *exchange) bool {
+	if x.resp.StatusCode >= http.StatusMultipleChoices && q.answer.hasOthers() {
+		return true
+	}
 	return x.resp.StatusCode >= http.StatusInternalServerError && q.route.Retryable() &&
 		q.possibleRuns < q.route.MaxAttempts && q.reserveMove()
 }
@@ -475,7 +503,7 @@
 // reserveMove reports whether another server could take the request now, and if so
 // reserves the retry.
 func (q *request) reserveMove() bool {
-	if q.possibleRuns >= q.route.MaxAttempts || q.rejections > maxRejections {
+	if !q.hasAttemptsLeft() {
 		return false
 	}
 	q.f.mu.Lock()
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -20,6 +20,8 @@
 	// minRequestSilence is the lower bound of the silence after which a request is
 	// moved. It is longer than an engine pass that prefills several prompts.
 	minRequestSilence = 500 * time.Millisecond
+	// moveRetryInterval is the time after which other servers are tried again if none has taken the request.
+	moveRetryInterval = 500 * time.Millisecond
 	// A request is moved after a silence of gapSilenceFactor times the route's
 	// GapObjective between events, and of firstEventSilenceFactor times its Objective
 	// before the first event.
@@ -38,8 +40,8 @@
 // MoveStalledRequests above which this process is taken to have been suspended.
 const suspendedFactor = 2
 
-// MoveStalledRequests interrupts requests whose server has stalled so that they
-// continue at another server, where their route and the retry budget allow that, and
+// MoveStalledRequests tries requests whose server seems to have stalled at other servers,
+// where their route and the retry budget allow that, and
 // ends those whose body has not come by their deadline. It must be called every
 // StallCheckInterval.
 func (f *Forwarder) MoveStalledRequests(now time.Time) {
@@ -53,7 +55,7 @@
 	failed := map[identifier.Server]bool{}
 	for x := range f.activeExchanges {
 		silent := now.Sub(x.lastEventAt) > x.silenceLimit() && f.chooser.SinceLastResponse(now, x.server) > serverSilenceThreshold
-		if !silent && !f.chooser.IsStalled(now, x.server) || !x.abandon(now, !silent) {
+		if !silent && !f.chooser.IsStalled(now, x.server) || !x.move(now, !silent) {
 			continue
 		}
 		if !failed[x.server] {
@@ -83,22 +85,23 @@
 	return max(serverSilenceThreshold, time.Duration(stallDelayFactor*float64(x.predictedDelay)))
 }
 
-// abandon interrupts the exchange so that its request is moved to another server,
-// and reports whether it did. If early is set, the exchange has not been silent for
-// long enough by itself, but its server as a whole seems stalled. On this weaker
-// evidence the request is moved only if its next event can still be on time:
+// move tries other servers while the exchange stays open, and reports whether it does. If early is set, the exchange
+// has not been silent for long enough by itself, but its server as a whole seems stalled. On this weaker
+// evidence others are tried only if the next event can still be on time:
 // otherwise it is better to wait for more evidence, because each move uses up an
 // attempt. The caller holds mu.
-func (x *exchange) abandon(now time.Time, early bool) bool {
-	if x.abandoned || !x.reserveMove(now, early) {
+func (x *exchange) move(now time.Time, early bool) bool {
+	if x.isMoving || x.pinned || x.q.answer.isWriting.Load() || now.Before(x.nextMoveAt) || !x.reserveMove(now, early) {
 		return false
 	}
-	x.abandoned = true
+	x.isMoving = true
 	x.silentFor = now.Sub(x.lastEventAt).Round(time.Millisecond)
 	x.q.f.counts.movedRequests.Inc(1)
-	_ = level.Info(x.q.f.Logger).Log("msg", "request moves elsewhere, since its server seems to have stalled", "id", x.q.info.ID, "server", x.server,
-		"early", early, "silent_for", x.silentFor, "events", x.eventCount, "since_last_response", x.q.f.chooser.SinceLastResponse(now, x.server).Round(time.Millisecond))
-	_ = x.conn.SetDeadline(time.Unix(1, 0))
+	_ = level.Info(x.q.f.Logger).Log("msg", "request is tried elsewhere, since its server seems to have stalled", "id", x.q.info.ID, "server", x.server,
+		"early", early, "silent_for", x.silentFor, "events", x.eventCount,
+		"since_last_response", x.q.f.chooser.SinceLastResponse(now, x.server).Round(time.Millisecond))
+	a, events := x.q.answer, x.eventCount
+	a.others.Go(func() { a.tryElsewhere(x, events) })
 	return true
 }
 
@@ -107,7 +110,7 @@
 // caller holds mu.
 func (x *exchange) reserveMove(now time.Time, early bool) bool {
 	q := x.q
-	if !q.route.Retryable() || x.runNumber >= q.route.MaxAttempts {
+	if !q.route.Retryable() || x.runNumber >= q.route.MaxAttempts || !q.mayRepeat() {
 		return false
 	}
 	req := chooser.Request{
@@ -121,11 +124,6 @@
 	if c.Server == nil || early && !x.meetsObjective(now, c.PredictedDelay) {
 		return false
 	}
-	if early && q.f.retryBudget(q.service).Left(q.f.Elapsed()) <= maxRejections {
-		// The server may be at work. Other servers may reject the request, each of which takes a
-		// retry, and the request must not end because there is none left.
-		return false
-	}
 	return q.reserveSend(now, c)
 }
 
