--- a/internal/forwarder/backend_test.go
+++ b/internal/forwarder/backend_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,6 +154,8 @@
 	backends       map[string]*backend
 	startedAt      time.Time
 	closeListeners []func() error
+	// loopPaused keeps moveStalledLoop from working, as if the process were suspended.
+	loopPaused atomic.Bool
 }
 
 func withTestbed(t *testing.T, backends map[string]func(net.Conn, *http.Request) bool, test func(tb *testbed)) {
@@ -209,7 +212,9 @@
 
 func (tb *testbed) moveStalledLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		tb.MoveStalledRequests(time.Now())
+		if !tb.loopPaused.Load() {
+			tb.MoveStalledRequests(time.Now())
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(StallCheckInterval):
@@ -274,13 +279,18 @@
 // call sends a request and waits for the response. header holds names and values in
 // turn.
 func (tb *testbed) call(ctx context.Context, method, target, body string, header ...string) callResult {
+	rec := httptest.NewRecorder()
+	return tb.callFor(ctx, rec, rec, method, target, body, header...)
+}
+
+// callFor is call for a caller that reads through w what rec records.
+func (tb *testbed) callFor(ctx context.Context, w http.ResponseWriter, rec *httptest.ResponseRecorder, method, target, body string, header ...string) callResult {
 	r := httptest.NewRequest(method, "http://h"+target, strings.NewReader(body)).WithContext(ctx)
 	r.RequestURI = target
 	r.Header.Set("Id", "q1")
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	rec := httptest.NewRecorder()
 	res := callResult{}
 	func() {
 		defer func() {
@@ -291,7 +301,7 @@
 				res.cut = true
 			}
 		}()
-		tb.ServeHTTP(rec, r)
+		tb.ServeHTTP(w, r)
 	}()
 	res.status, res.body, res.header = rec.Code, rec.Body.String(), rec.Header()
 	return res
