forwarder: a server is not silent while its answer is not read

Callers who read slowly, and callers of a front that was suspended for a moment, had their requests tried at other servers, and their servers reported as stalled to the core processes, which ended whole groups on such reports.

Cause: silence was the time since the last event was passed on, also while this process wrote to the caller or did not run.

Change: that time does not count. Tests of all ways in which a server at work may seem silent: steady plain bodies, events in pieces, comments, informational responses, slow callers, suspensions, a model that the server has changed. Now all pass, with the race detector too.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
@@ -14,7 +13,7 @@
 )
 
 // answer is the answer to a request on its way to the caller. Several servers may
-// contribute consecutive parts of a stream. The request's mu guards its fields, except others and isWriting.
+// contribute consecutive parts of a stream. The request's mu guards its fields, except others.
 //
 // An answer is never given up for one that may not come: while its server is silent, an attempt at other servers is made
 // in a goroutine of its own. The first attempt that has something for the caller goes on with the answer, and supersedes
@@ -34,8 +33,6 @@
 	lastEventID    int64
 	hasLastEventID bool
 	flusher        *http.ResponseController
-	// isWriting is set while events are written. A caller that reads slowly does not make the server a silent one.
-	isWriting atomic.Bool
 	// waited is how long a stream has waited to go on at another server.
 	waited time.Duration
 }
@@ -279,7 +276,7 @@
 	f := b.x.q.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b.x.lastEventAt = time.Now()
+	b.x.setLastEvent(time.Now())
 	return n, err
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -67,6 +67,10 @@
 	firstEventAt time.Time
 	sound        bool
 	isolated     bool
+	// heldUp is how long this process has not tried to read the answer since lastEventAt, because it was suspended or wrote
+	// to the caller. writingSince is when the present write to the caller began, or zero.
+	heldUp       time.Duration
+	writingSince time.Time
 	// isMoving is set while other servers are tried, because this one has been silent for silentFor. They may be tried
 	// again at nextMoveAt. A pinned exchange cannot be replaced.
 	isMoving   bool
@@ -461,7 +465,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pause := now.Sub(x.lastEventAt)
-	x.lastEventAt = now
+	x.setLastEvent(now)
 	x.eventCount += n
 	if x.eventCount >= soundEvents {
 		defer x.recordSound(now)
@@ -474,3 +478,41 @@
 	x.firstEventAt = now
 	f.chooser.RecordFirstEvent(now, x.server, x.q.info.PromptTokens)
 }
+
+// setLastEvent records that the server has sent something. The caller holds mu.
+func (x *exchange) setLastEvent(now time.Time) {
+	x.lastEventAt, x.heldUp = now, 0
+	if !x.writingSince.IsZero() {
+		x.writingSince = now
+	}
+}
+
+// silence returns how long the server has sent nothing, as far as this process has tried to read. The caller holds mu.
+func (x *exchange) silence(now time.Time) time.Duration {
+	silence := now.Sub(x.lastEventAt) - x.heldUp
+	if !x.writingSince.IsZero() {
+		silence -= now.Sub(x.writingSince)
+	}
+	return silence
+}
+
+// holdUp records that this process was suspended for a time. The caller holds mu.
+func (x *exchange) holdUp(now time.Time, d time.Duration) {
+	if x.writingSince.IsZero() {
+		x.heldUp += min(d, x.silence(now))
+	}
+}
+
+// beginWrite records that a write to the caller begins, in which the answer is not read, and endWrite that it has ended.
+func (x *exchange) beginWrite() {
+	x.q.f.mu.Lock()
+	defer x.q.f.mu.Unlock()
+	x.writingSince = time.Now()
+}
+
+func (x *exchange) endWrite() {
+	x.q.f.mu.Lock()
+	defer x.q.f.mu.Unlock()
+	x.heldUp += time.Since(x.writingSince)
+	x.writingSince = time.Time{}
+}
--- a/internal/forwarder/running_answers_test.go
+++ b/internal/forwarder/running_answers_test.go
@@ -114,6 +114,8 @@
 	recorder *httptest.ResponseRecorder
 	// resumed is set while the process is suspended, and then closed.
 	resumed atomic.Pointer[chan struct{}]
+	// onResume is called, if it is set, when the process runs again and has not read anything yet.
+	onResume func()
 }
 
 // catalog returns a new catalog, after a change. Routes need a key.
@@ -121,7 +123,9 @@
 	c := testCatalog(tb.t)
 	single := c.Routes[2]
 	single.Name, single.PathPrefix, single.Resumable = "single", "/single/", false
-	c.Routes = append(c.Routes, single)
+	plain := c.Routes[4]
+	plain.Name, plain.PathPrefix, plain.Kind, plain.Resumable = "plain", "/plain/", cataloger.NonIdempotent, false
+	c.Routes = append(c.Routes, single, plain)
 	for i := range c.Routes {
 		c.Routes[i].Public, c.Routes[i].MaxAttempts = false, 3
 	}
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -49,12 +49,15 @@
 	defer f.mu.Unlock()
 	if elapsed := now.Sub(f.lastStallCheck); !f.lastStallCheck.IsZero() && elapsed > suspendedFactor*StallCheckInterval {
 		f.chooser.RecordResume(now)
+		for x := range f.activeExchanges {
+			x.holdUp(now, elapsed-StallCheckInterval)
+		}
 	}
 	f.lastStallCheck = now
 	f.endLateReading(now)
 	failed := map[identifier.Server]bool{}
 	for x := range f.activeExchanges {
-		silent := now.Sub(x.lastEventAt) > x.silenceLimit() && f.chooser.SinceLastResponse(now, x.server) > serverSilenceThreshold
+		silent := x.silence(now) > x.silenceLimit() && f.chooser.SinceLastResponse(now, x.server) > serverSilenceThreshold
 		if !silent && !f.chooser.IsStalled(now, x.server) || !x.move(now, !silent) {
 			continue
 		}
@@ -91,11 +94,11 @@
 // otherwise it is better to wait for more evidence, because each move uses up an
 // attempt. The caller holds mu.
 func (x *exchange) move(now time.Time, early bool) bool {
-	if x.isMoving || x.pinned || x.q.answer.isWriting.Load() || now.Before(x.nextMoveAt) || !x.reserveMove(now, early) {
+	if x.isMoving || x.pinned || !x.writingSince.IsZero() || now.Before(x.nextMoveAt) || !x.reserveMove(now, early) {
 		return false
 	}
 	x.isMoving = true
-	x.silentFor = now.Sub(x.lastEventAt).Round(time.Millisecond)
+	x.silentFor = x.silence(now).Round(time.Millisecond)
 	x.q.f.counts.movedRequests.Inc(1)
 	_ = level.Info(x.q.f.Logger).Log("msg", "request is tried elsewhere, since its server seems to have stalled", "id", x.q.info.ID, "server", x.server,
 		"early", early, "silent_for", x.silentFor, "events", x.eventCount,
@@ -155,7 +158,7 @@
 	defer f.mu.Unlock()
 	stalled := map[identifier.Server]int{}
 	for x := range f.activeExchanges {
-		if now.Sub(x.lastEventAt) > x.stallSilence() {
+		if x.silence(now) > x.stallSilence() {
 			stalled[x.server]++
 		}
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -116,8 +116,8 @@
 
 // writeEvents writes the complete events that have arrived to the caller.
 func (a *answer) writeEvents(x *exchange, events *streamer.Splitter) error {
-	a.isWriting.Store(true)
-	defer a.isWriting.Store(false)
+	x.beginWrite()
+	defer x.endWrite()
 	wrote, progress := false, 0
 	for e, ok := events.Next(); ok; e, ok = events.Next() {
 		if e.HasID && a.hasLastEventID && e.ID <= a.lastEventID {
