fronter: serve open connections after the listener is closed

What callers saw: in the last half second of a planned stop (from 7.3 s of 8) a request on an open connection ended with that connection, whole and read, and without an answer.

Cause: the listener was closed by http.Server.Shutdown. From its call on, the server closes each connection from which it has read a request, without serving the request.

Change: the front closes its listener itself, goes on to serve open connections until they have been quiet for 250 ms or 100 ms after the end, and calls Shutdown after that. Such requests get 503, or their answer if they end in time.

--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -58,8 +58,11 @@
 	noticeDelay = 2500 * time.Millisecond
 	// After drainDelay a front that stops keeps its listener open until no request has
 	// come or been in flight for quietTime, but at most until listenerMargin before the end.
-	quietTime      = 250 * time.Millisecond
-	listenerMargin = 200 * time.Millisecond
+	// After that it serves the connections that are open until they are quiet as well, but at
+	// most until lateRequestTime after the end.
+	quietTime       = 250 * time.Millisecond
+	listenerMargin  = 200 * time.Millisecond
+	lateRequestTime = 100 * time.Millisecond
 	// stopCheckInterval is how often requests in flight are looked for meanwhile.
 	stopCheckInterval = 20 * time.Millisecond
 	// shutdownMargin is how long before the end of the grace period the requests that
@@ -251,7 +254,7 @@
 		return Error.Wrap(err)
 	case <-ctx.Done():
 	}
-	f.shutdown(server)
+	f.shutdown(server, callerListener)
 	return nil
 }
 
@@ -261,8 +264,9 @@
 // response. After noticeDelay it takes only requests that end in the time that is left.
 // After drainDelay it closes the listener once no more requests come: connections that
 // wait to be accepted are reset when it is closed. Requests that are left at the end get a
-// final answer.
-func (f *Front) shutdown(server *http.Server) {
+// final answer. http.Server.Shutdown comes last, because the server drops the requests that
+// it reads from then on.
+func (f *Front) shutdown(server *http.Server, listener net.Listener) {
 	start := time.Now()
 	grace := f.Settings.Bounds.ShutdownGrace()
 	_ = level.Info(f.Logger).Log("msg", "front process stops", "grace", grace)
@@ -273,13 +277,17 @@
 	f.forwarder.SetEnd(end)
 	f.logStopStep("refuses requests that may last too long", start)
 	time.Sleep(min(drainDelay, grace/2) - min(noticeDelay, grace/2))
-	f.awaitQuiet(end)
+	f.awaitQuiet(end.Add(-listenerMargin))
 	f.logStopStep("closes its listener", start)
+	if err := listener.Close(); err != nil {
+		_ = level.Error(f.Logger).Log("msg", "cannot close the listener", "err", err)
+	}
 	ending := time.AfterFunc(time.Until(end), func() {
 		f.logStopStep("ends requests", start)
 		f.forwarder.EndRequests()
 	})
 	defer ending.Stop()
+	f.awaitQuiet(end.Add(lateRequestTime))
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(finalAnswerTime))
 	defer cancel()
 	err := server.Shutdown(ctx)
@@ -294,10 +302,9 @@
 	_ = level.Info(f.Logger).Log("msg", "front process "+step, "after", time.Since(start).Round(time.Millisecond), "in_flight", f.forwarder.InFlight())
 }
 
-// awaitQuiet returns once no request has been in flight for quietTime, at the latest
-// listenerMargin before end.
-func (f *Front) awaitQuiet(end time.Time) {
-	for time.Now().Before(end.Add(-listenerMargin)) && f.forwarder.QuietFor() < quietTime {
+// awaitQuiet returns once no request has come or been in flight for quietTime, at the latest at until.
+func (f *Front) awaitQuiet(until time.Time) {
+	for time.Now().Before(until) && f.forwarder.QuietFor() < quietTime {
 		time.Sleep(stopCheckInterval)
 	}
 }
--- a/internal/fronter/stop_test.go
+++ b/internal/fronter/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,30 +21,38 @@
 func (noDialect) RewriteRequest(http.Header, forwarder.ForwardInfo) {}
 func (noDialect) ParseResponse(http.Header) forwarder.ResponseInfo  { return forwarder.ResponseInfo{} }
 
+// startFront runs a front f without core processes.
+func startFront(t *testing.T) (f *Front, network *piper.Network, stop func(), stopped <-chan struct{}) {
+	t.Helper()
+	network = piper.New()
+	set := configurer.NodeSettings{
+		VM: "f", FailureDomain: "z", PeerAddress: "f:7", CallersAddress: "f:80", ReadinessAddress: "f:81", Seeds: []string{"none:8"},
+	}
+	set.FillDefaults()
+	startedAt := time.Now()
+	f = &Front{
+		Settings: set, Logger: log.NewNopLogger(), Network: piper.Host{Network: network, Name: "f"}, Dialect: noDialect{},
+		ReadinessHandler: http.NotFoundHandler(), Elapsed: func() time.Duration { return time.Since(startedAt) },
+	}
+	f.Init()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := f.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	return f, network, stop, done
+}
+
 // TestPlannedStopAnswersAcceptedRequests guards against connections that are accepted
 // during a planned stop and closed without an answer. Callers open connections and use
 // kept ones until the process is gone, faster than any quiet time.
 func TestPlannedStopAnswersAcceptedRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := piper.New()
-		set := configurer.NodeSettings{
-			VM: "f", FailureDomain: "z", PeerAddress: "f:7", CallersAddress: "f:80", ReadinessAddress: "f:81", Seeds: []string{"none:8"},
-		}
-		set.FillDefaults()
-		startedAt := time.Now()
-		f := &Front{
-			Settings: set, Logger: log.NewNopLogger(), Network: piper.Host{Network: network, Name: "f"}, Dialect: noDialect{},
-			ReadinessHandler: http.NotFoundHandler(), Elapsed: func() time.Duration { return time.Since(startedAt) },
-		}
-		f.Init()
-		ctx, stop := context.WithCancel(context.Background())
-		stopped := make(chan struct{})
-		go func() {
-			defer close(stopped)
-			if err := f.Run(ctx); err != nil {
-				t.Error(err)
-			}
-		}()
+		f, network, stop, stopped := startFront(t)
+		set := f.Settings
 		time.Sleep(time.Second)
 		host := piper.Host{Network: network, Name: "caller"}
 		stop()
@@ -79,3 +88,40 @@
 		synctest.Wait()
 	})
 }
+
+// TestPlannedStopAnswersOnOpenConnections guards against requests that come on open connections after the listener
+// was closed, and are read and dropped.
+func TestPlannedStopAnswersOnOpenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, network, stop, stopped := startFront(t)
+		time.Sleep(time.Second)
+		host := piper.Host{Network: network, Name: "caller"}
+		stop()
+		end := time.Now().Add(f.Settings.Bounds.ShutdownGrace() - shutdownMargin)
+		requests := 0
+		var wg sync.WaitGroup
+		for time.Now().Before(end) {
+			c, err := host.DialContext(context.Background(), "tcp", "f:80")
+			if err != nil {
+				break
+			}
+			requests++
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				time.Sleep(100 * time.Millisecond)
+				if err := sendRequest(c); err != nil {
+					t.Errorf("a request %s before the end: %v", time.Until(end), err)
+				}
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		<-stopped
+		if late := end.Add(-listenerMargin - 100*time.Millisecond); requests < 100 || time.Now().Before(late) {
+			t.Errorf("%d requests were sent and the front stopped %s before the end", requests, time.Until(end))
+		}
+		network.Kill("caller")
+		network.Kill("f")
+		synctest.Wait()
+	})
+}
