relayer: a server's silence ends no answer before the caller's deadline

A caller that waits for minutes lost its answer when the server was silent for first_token (15 s) or nothing came for between_tokens (10 s), although the server was at work and the deadline ahead: the stream broke off, a request that had not begun got 504, and one that may run twice was run at another server meanwhile, up to three times. The entry before the owner of a group had the same times.

The times of silence now bound a request only after its deadline, by one rule for the owner, the entry before it, and requests under a key, which go on without their caller. They stay as they were for requests without Timeout-Ms.

TestSilentServersKeepAnswersUntilDeadlines: eight requests at two entries, streams, whole answers and bookings with and without a key; first token after 50 s, 10.2 s between tokens, deadlines of 4 minutes. TestSilentServersEndAtDeadlines: requests to servers that hang still end at their deadline, and leave no place occupied.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -99,9 +99,10 @@
 	// flight.
 	ShutdownTimeout time.Duration `yaml:"shutdown" json:"shutdown"`
 	// FirstTokenTimeout limits the time until the first byte of a backend server's
-	// response.
+	// response. It does not end a request before its deadline.
 	FirstTokenTimeout time.Duration `yaml:"first_token" json:"first_token"`
-	// InterTokenTimeout limits the time without data within a response stream.
+	// InterTokenTimeout limits the time without data within a response stream. It does
+	// not end a request before its deadline.
 	InterTokenTimeout time.Duration `yaml:"between_tokens" json:"between_tokens"`
 	// MaxQueueWait limits the time that a request waits in the queue.
 	MaxQueueWait time.Duration `yaml:"queue_wait" json:"queue_wait"`
--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -75,7 +75,7 @@
 	req.ContentLength = int64(len(r.Body))
 	req.Header = forwardableHeader(r.Header)
 	p.setHeaders(req.Header, g, r)
-	watchdog := time.AfterFunc(p.Limits.MaxQueueWait+p.Limits.FirstTokenTimeout, cancel)
+	watchdog := time.AfterFunc(r.silenceTimeout(time.Now(), p.Limits.MaxQueueWait+p.Limits.FirstTokenTimeout), cancel)
 	resp, err := p.Client.Do(req)
 	if err != nil {
 		timedOut := !watchdog.Stop()
@@ -86,7 +86,7 @@
 		defer cancel()
 		return nil, parsePeerRefusal(resp)
 	}
-	body := &peerResponseBody{body: resp.Body, cancel: cancel, watchdog: watchdog, idleTimeout: p.Limits.InterTokenTimeout + time.Second}
+	body := &peerResponseBody{body: resp.Body, request: r, cancel: cancel, watchdog: watchdog, idleTimeout: p.Limits.InterTokenTimeout + time.Second}
 	return &Response{Status: resp.StatusCode, Header: forwardableHeader(resp.Header), Body: body}, nil
 }
 
@@ -141,9 +141,11 @@
 }
 
 // peerResponseBody is the body of a response that another entry relays. It cancels the
-// request when no data arrives for idleTimeout.
+// request when no data arrives for idleTimeout and the request's deadline, if it has one, has
+// passed.
 type peerResponseBody struct {
 	body        io.ReadCloser
+	request     *Request
 	cancel      context.CancelFunc
 	watchdog    *time.Timer
 	idleTimeout time.Duration
@@ -153,7 +155,7 @@
 func (b *peerResponseBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	if n > 0 {
-		b.watchdog.Reset(b.idleTimeout)
+		b.watchdog.Reset(b.request.silenceTimeout(time.Now(), b.idleTimeout))
 	}
 	return n, err
 }
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -56,7 +56,8 @@
 
 // Limits holds the limits on the time, size and number of requests. FirstTokenTimeout
 // applies from sending a request until the first data of its response arrives, and
-// InterTokenTimeout after each further piece of data. MaxQueueLength is the number of
+// InterTokenTimeout after each further piece of data. Neither ends a request before its
+// deadline, so they bound requests without one. MaxQueueLength is the number of
 // waiting requests per group, MaxBodyBytes the size of a request body, and
 // MaxStoredResponseBytes the size of a response body that is stored for an idempotency
 // key.
@@ -214,7 +215,7 @@
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, err.Error())
 	}
 	startTime, incarnation := time.Now(), c.currentIncarnation()
-	watchdog := time.AfterFunc(o.Limits.FirstTokenTimeout, cancel)
+	watchdog := time.AfterFunc(r.silenceTimeout(startTime, o.Limits.FirstTokenTimeout), cancel)
 	resp, err := o.Client.Do(req)
 	if err != nil {
 		timedOut := !watchdog.Stop()
@@ -238,7 +239,7 @@
 		return nil, refusal
 	}
 	body := &serverResponseBody{
-		body: resp.Body, controller: c, startTime: startTime, cancel: cancel, watchdog: watchdog,
+		body: resp.Body, request: r, controller: c, startTime: startTime, cancel: cancel, watchdog: watchdog,
 		events: newEventSplitter(resp.Header), idleTimeout: o.Limits.InterTokenTimeout, failed: resp.StatusCode >= http.StatusInternalServerError,
 	}
 	return &Response{Status: resp.StatusCode, Header: forwardableHeader(resp.Header), Body: body}, nil
@@ -307,12 +308,13 @@
 }
 
 // serverResponseBody is the body of a backend server's response. It cancels the
-// request when no data arrives for idleTimeout. In an event stream, only complete events
-// that are not comments count as data.
+// request when no data arrives for idleTimeout and the request's deadline, if it has one, has
+// passed. In an event stream, only complete events that are not comments count as data.
 type serverResponseBody struct {
 	// events is nil if the response is not an event stream.
 	events           *streamer.Splitter
 	body             io.ReadCloser
+	request          *Request
 	controller       *admissionController
 	startTime        time.Time
 	timeToFirstToken time.Duration
@@ -324,8 +326,7 @@
 	closed           bool
 }
 
-// Read implements io.Reader. It returns an error if no data has arrived for
-// idleTimeout.
+// Read implements io.Reader. It returns an error once the request has been cancelled.
 func (b *serverResponseBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	if n > 0 {
@@ -333,7 +334,7 @@
 			b.timeToFirstToken = time.Since(b.startTime)
 		}
 		if b.hasProgress(p[:n]) {
-			b.watchdog.Reset(b.idleTimeout)
+			b.watchdog.Reset(b.request.silenceTimeout(time.Now(), b.idleTimeout))
 		}
 		if b.events != nil && b.events.TooLong() {
 			err = streamer.ErrEventTooLong
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -94,3 +94,16 @@
 	}
 	return min(limit, r.Deadline.Sub(now))
 }
+
+// endSlack is how long after its deadline a request ends by silence, so that the caller's entry
+// ends it first. It does not end one that it runs under an idempotency key.
+const endSlack = time.Second
+
+// silenceTimeout returns how long the request's server may be silent from now on. Before the
+// request's deadline the timeout does not count, since a silent server may be at work.
+func (r *Request) silenceTimeout(now time.Time, timeout time.Duration) time.Duration {
+	if r.Deadline.IsZero() {
+		return timeout
+	}
+	return max(timeout, r.Deadline.Sub(now)+endSlack)
+}
--- a/internal/server/silence_test.go
+++ b/internal/server/silence_test.go
@@ -58,3 +58,74 @@
 		}
 	})
 }
+
+// TestSilentServersKeepAnswersUntilDeadlines guards against answers that are given up because
+// their server is silent while it works and the caller's deadline is ahead.
+func TestSilentServersKeepAnswersUntilDeadlines(t *testing.T) {
+	withCluster(t, 2, func(w *testCluster) {
+		const timeout = 4 * time.Minute
+		w.slowServers("engine")
+		w.slowServers("booking")
+		answers := make(chan response)
+		sent := 0
+		send := func(request func() response) {
+			sent++
+			go func() { answers <- request() }()
+		}
+		// A group has one owner, so that one of the entries relays through the other one.
+		for _, entry := range []string{"entry-a-1", "entry-a-2"} {
+			send(func() response { return w.sendChatUntil(entry, true, timeout) })
+			send(func() response { return w.sendChatUntil(entry, false, timeout) })
+			send(func() response {
+				return w.sendUntil(entry, "/services/booking/bookings", "worker 17", "k-"+entry, timeout)
+			})
+			send(func() response { return w.sendUntil(entry, "/services/booking/bookings", "worker 17", "", timeout) })
+		}
+		for range sent {
+			r := <-answers
+			if r.status >= http.StatusMultipleChoices || r.err != nil || r.refusal != nil {
+				t.Errorf("an answer was given up: %s", r)
+			}
+			if n := w.runCount(r.mark); n != 1 {
+				t.Errorf("request %s ran %d times", r.mark, n)
+			}
+		}
+	})
+}
+
+// TestSilentServersEndAtDeadlines guards against requests that occupy their server for good, though
+// their deadline has passed, and against such servers that count as crashed.
+func TestSilentServersEndAtDeadlines(t *testing.T) {
+	withCluster(t, 2, func(w *testCluster) {
+		const timeout, slack = 20 * time.Second, 2 * time.Second
+		w.setFaults("engine", emulator.Faults{TimeFactor: 1e6})
+		w.setFaults("booking", emulator.Faults{TimeFactor: 1e6})
+		for i := range 8 {
+			entry := fmt.Sprintf("entry-a-%d", i%2+1)
+			startedAt := time.Now()
+			r := w.sendChatUntil(entry, i%4 < 2, timeout)
+			if took := time.Since(startedAt); r.complete || took < timeout-slack || took > timeout+slack {
+				t.Errorf("after %s: %s", took, r)
+			}
+			if r.refusal == nil || r.refusal.Code != refuser.BackendSilent {
+				t.Errorf("wrong refusal: %s", r)
+			}
+		}
+		startedAt := time.Now()
+		r := w.sendUntil("entry-a-1", "/services/booking/bookings", "worker 17", "k", timeout)
+		if took := time.Since(startedAt); r.complete || took > timeout+slack {
+			t.Errorf("under a key after %s: %s", took, r)
+		}
+		time.Sleep(slack)
+		for vm, e := range w.entries {
+			if n := e.server.relayer.CrashCount(); n > 0 {
+				t.Errorf("%s counts %d subjects under which servers have crashed", vm, n)
+			}
+			for _, g := range e.server.relayer.Owner.Status() {
+				if g.Running > 0 {
+					t.Errorf("%d requests still occupy %s", g.Running, g.Group)
+				}
+			}
+		}
+	})
+}
