relayer: a caller that reads slowly is no silent server

A caller without Timeout-Ms that took longer than between_tokens (10 s) for a part of its answer lost the rest, though a write may take 30 s: the timer of the server's silence ran on while the entry wrote to the caller and read nothing, and cancelled the request with the server's next events in the connection. The entry before the owner did the same after 11 s.

Silence is now counted only while the entry waits for data.

TestSlowCallersAreNoSilence: four events a second apart, a caller that reads one each 20 s. TestSilenceCountsWhileAnEntryReads: a server that is silent while it is read from still ends after its time.

--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -75,18 +75,20 @@
 	req.ContentLength = int64(len(r.Body))
 	req.Header = forwardableHeader(r.Header)
 	p.setHeaders(req.Header, g, r)
-	watchdog := time.AfterFunc(r.silenceTimeout(time.Now(), p.Limits.MaxQueueWait+p.Limits.FirstTokenTimeout), cancel)
+	silence := newSilenceWatch(r, p.Limits.MaxQueueWait+p.Limits.FirstTokenTimeout, cancel)
 	resp, err := p.Client.Do(req)
+	timedOut := !silence.pause()
 	if err != nil {
-		timedOut := !watchdog.Stop()
 		cancel()
 		return nil, peerError(gotConn.Load(), timedOut, err)
 	}
 	if resp.Header.Get(headerIsResponse) == "" {
 		defer cancel()
+		silence.resume()
+		defer silence.pause()
 		return nil, parsePeerRefusal(resp)
 	}
-	body := &peerResponseBody{body: resp.Body, request: r, cancel: cancel, watchdog: watchdog, idleTimeout: p.Limits.InterTokenTimeout + time.Second}
+	body := &peerResponseBody{body: resp.Body, cancel: cancel, silence: silence, idleTimeout: p.Limits.InterTokenTimeout + time.Second}
 	return &Response{Status: resp.StatusCode, Header: forwardableHeader(resp.Header), Body: body}, nil
 }
 
@@ -141,28 +143,28 @@
 }
 
 // peerResponseBody is the body of a response that another entry relays. It cancels the
-// request when no data arrives for idleTimeout and the request's deadline, if it has one, has
-// passed.
+// request when no data arrives in idleTimeout of reading and the request's deadline, if it has
+// one, has passed.
 type peerResponseBody struct {
 	body        io.ReadCloser
-	request     *Request
 	cancel      context.CancelFunc
-	watchdog    *time.Timer
+	silence     *silenceWatch
 	idleTimeout time.Duration
 }
 
 // Read implements io.Reader.
 func (b *peerResponseBody) Read(p []byte) (int, error) {
+	b.silence.resume()
 	n, err := b.body.Read(p)
+	b.silence.pause()
 	if n > 0 {
-		b.watchdog.Reset(b.request.silenceTimeout(time.Now(), b.idleTimeout))
+		b.silence.recordProgress(b.idleTimeout)
 	}
 	return n, err
 }
 
 // Close cancels the request if its response has not ended.
 func (b *peerResponseBody) Close() error {
-	b.watchdog.Stop()
 	b.cancel()
 	return b.body.Close()
 }
--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -215,22 +215,20 @@
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, err.Error())
 	}
 	startTime, incarnation := time.Now(), c.currentIncarnation()
-	watchdog := time.AfterFunc(r.silenceTimeout(startTime, o.Limits.FirstTokenTimeout), cancel)
+	silence := newSilenceWatch(r, o.Limits.FirstTokenTimeout, cancel)
 	resp, err := o.Client.Do(req)
+	timedOut := !silence.pause()
 	if err != nil {
-		timedOut := !watchdog.Stop()
 		cancel()
 		return nil, o.handleSendError(ctx, c, gotConn.Load(), timedOut, err)
 	}
 	o.observeStatements(id, c, incarnation, startTime, resp.StatusCode, resp.Header)
 	if refusal := parseServerRefusal(resp); refusal != nil {
-		watchdog.Stop()
 		cancel()
 		c.releaseSlot(RequestResult{Failed: true})
 		return nil, refusal
 	}
 	if r.RetryServerErrors && resp.StatusCode >= http.StatusInternalServerError {
-		watchdog.Stop()
 		cancel()
 		_ = resp.Body.Close()
 		c.releaseSlot(RequestResult{Failed: true})
@@ -239,7 +237,7 @@
 		return nil, refusal
 	}
 	body := &serverResponseBody{
-		body: resp.Body, request: r, controller: c, startTime: startTime, cancel: cancel, watchdog: watchdog,
+		body: resp.Body, controller: c, startTime: startTime, cancel: cancel, silence: silence,
 		events: newEventSplitter(resp.Header), idleTimeout: o.Limits.InterTokenTimeout, failed: resp.StatusCode >= http.StatusInternalServerError,
 	}
 	return &Response{Status: resp.StatusCode, Header: forwardableHeader(resp.Header), Body: body}, nil
@@ -308,18 +306,17 @@
 }
 
 // serverResponseBody is the body of a backend server's response. It cancels the
-// request when no data arrives for idleTimeout and the request's deadline, if it has one, has
-// passed. In an event stream, only complete events that are not comments count as data.
+// request when no data arrives in idleTimeout of reading and the request's deadline, if it has
+// one, has passed. In an event stream, only complete events that are not comments count as data.
 type serverResponseBody struct {
 	// events is nil if the response is not an event stream.
 	events           *streamer.Splitter
 	body             io.ReadCloser
-	request          *Request
 	controller       *admissionController
 	startTime        time.Time
 	timeToFirstToken time.Duration
 	cancel           context.CancelFunc
-	watchdog         *time.Timer
+	silence          *silenceWatch
 	idleTimeout      time.Duration
 	failed           bool
 	complete         bool
@@ -328,13 +325,15 @@
 
 // Read implements io.Reader. It returns an error once the request has been cancelled.
 func (b *serverResponseBody) Read(p []byte) (int, error) {
+	b.silence.resume()
 	n, err := b.body.Read(p)
+	b.silence.pause()
 	if n > 0 {
 		if b.timeToFirstToken == 0 {
 			b.timeToFirstToken = time.Since(b.startTime)
 		}
 		if b.hasProgress(p[:n]) {
-			b.watchdog.Reset(b.request.silenceTimeout(time.Now(), b.idleTimeout))
+			b.silence.recordProgress(b.idleTimeout)
 		}
 		if b.events != nil && b.events.TooLong() {
 			err = streamer.ErrEventTooLong
@@ -369,7 +368,6 @@
 		return nil
 	}
 	b.closed = true
-	b.watchdog.Stop()
 	b.cancel()
 	timeToFirstToken := b.timeToFirstToken
 	if timeToFirstToken == 0 {
