relayer: an event that is long ends no stream

A stream with an event of more than 256 KiB broke off there, and its server was recorded as crashed, though it was at work: the entry splits streams only to see whether whole events arrive, and took the bound of the splitter's buffer for a fault of the server.

The buffer is dropped at the bound, and counts as progress. Bytes are relayed as before.

TestLongEventsAreRelayed: an event of 500 KiB. Before: the answer ended after 262,150 bytes. After: it is whole.

--- a/internal/relayer/owner.go
+++ b/internal/relayer/owner.go
@@ -335,9 +335,6 @@
 		if b.hasProgress(p[:n]) {
 			b.silence.recordProgress(b.idleTimeout)
 		}
-		if b.events != nil && b.events.TooLong() {
-			err = streamer.ErrEventTooLong
-		}
 	}
 	switch {
 	case err == io.EOF:
@@ -348,7 +345,8 @@
 	return n, err
 }
 
-// hasProgress reports whether bytes that were read hold data, or complete an event.
+// hasProgress reports whether bytes that were read hold data, or complete an event or a part of a
+// long one.
 func (b *serverResponseBody) hasProgress(p []byte) bool {
 	if b.events == nil {
 		return true
@@ -358,6 +356,12 @@
 	for e, ok := b.events.Next(); ok; e, ok = b.events.Next() {
 		progress = progress || !e.IsComment
 	}
+	if b.events.TooLong() {
+		// A server that sends so much is at work. What was received need not be buffered, since
+		// bytes are relayed as they come.
+		*b.events = streamer.Splitter{}
+		return true
+	}
 	return progress
 }
 
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -154,3 +154,21 @@
 		}
 	})
 }
+
+// TestLongEventsAreRelayed guards against streams that are given up because one of their events
+// is longer than what a splitter of events accepts.
+func TestLongEventsAreRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part := strings.Repeat("x", 100<<10)
+		s := &pacedServer{parts: []string{"data: ", part, part, part, part, part, "\n\n", "data: [DONE]\n\n"}, pause: time.Second}
+		for name, send := range answerWays(s) {
+			resp, refusal := send(&Request{Method: http.MethodPost, Path: "/", Header: http.Header{}, Team: "t"})
+			if refusal != nil {
+				t.Fatalf("%s: %v", name, refusal)
+			}
+			if text := readSlowly(t, resp, 0); text != strings.Join(s.parts, "") {
+				t.Errorf("%s: got %d bytes", name, len(text))
+			}
+		}
+	})
+}
