server: a planned stop waits for answers that the entry only relays

Callers in one failure domain saw streams end in the middle when an entry of another domain got SIGTERM: the entry passed their requests on to the owner of the group, a third entry. The stop waited for the callers' requests and for those at the groups that it owned, found none, and closed the listener for other entries with these streams on it. Requests that waited in a queue did not count either.

The stop now waits for all requests from other entries, and then closes the listener in order instead of at once, so that the last bytes of an answer that has just ended are sent.

--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -175,6 +175,8 @@
 		refuser.New(refuser.Unauthorized, refuser.NotRun, "the peer key is wrong").Write(w)
 		return
 	}
+	t.peerRequests.Add(1)
+	defer t.peerRequests.Add(-1)
 	body, refusal := readBody(w, r, t.Limits.MaxBodyBytes)
 	if refusal != nil {
 		refusal.Write(w)
@@ -202,6 +204,10 @@
 	}
 }
 
+// PeerRequestCount returns the number of requests from other entries that this entry serves now,
+// whether it owns their groups or relays them to the owners.
+func (t *Relayer) PeerRequestCount() int { return int(t.peerRequests.Load()) }
+
 func parsePeerRequest(r *http.Request, body []byte) *Request {
 	weight, _ := strconv.ParseFloat(r.Header.Get(headerTeamWeight), 64)
 	cost, _ := strconv.ParseFloat(r.Header.Get(headerCost), 64)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/identifier"
@@ -35,6 +36,8 @@
 	// CheckReady returns nil if new requests are accepted, and the reason otherwise.
 	CheckReady func() *refuser.Refusal
 
+	peerRequests atomic.Int64
+
 	mu       sync.Mutex
 	inFlight map[identifier.Group]int64
 	// inFlightAtReport is a copy of inFlight, the number of requests that this entry
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -289,24 +289,25 @@
 	_ = s.callerServer.Shutdown(ctx)
 	s.waitForPeerRequests(ctx)
 	s.lease.resign()
-	_ = s.controlServer.Close()
+	s.closeControlServer(ctx)
 }
 
-// waitForPeerRequests waits until the requests that this entry has admitted have
-// ended. Once its callers' listener is closed, these come from other entries.
+// waitForPeerRequests waits until the requests from other entries have ended.
 func (s *Server) waitForPeerRequests(ctx context.Context) {
-	for ctx.Err() == nil {
-		running := uint32(0)
-		for _, g := range s.relayer.Owner.Status() {
-			running += g.Running
-		}
-		if running == 0 {
-			return
-		}
+	for ctx.Err() == nil && s.relayer.PeerRequestCount() > 0 {
 		sleep(ctx, refreshInterval)
 	}
 }
 
+// closeControlServer closes the listener for other entries, operators and backend servers. Calls
+// that have just ended get the time to send the ends of their answers.
+func (s *Server) closeControlServer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.Timing.SilenceTimeout)
+	defer cancel()
+	_ = s.controlServer.Shutdown(ctx)
+	_ = s.controlServer.Close()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
