server: a busy server keeps a large request

A request of 256 KiB or more whose server did not read it for the silence timeout (3 s) was lost with "connection timed out", though server and machine were alive. Connections to backend servers had TCP_USER_TIMEOUT, and Linux also closes by it a connection whose other end acknowledges every probe while its window stays closed. The note of the option said only that sent data stays unacknowledged.

Connections to backend servers no longer have the option. Connections between entries keep it.

TestBusyServersKeepLargeRequests: 8 MiB, a server that reads after 3 s, silence timeout 0.5 s, over TCP. Before: given up after 1.3 s, the server had got 127,856 bytes. After: served. With a timeout of 1 s, before: 128 KiB and less were served by a server that was busy for 4 s, 256 KiB, 1 MiB and 4 MiB given up after 1.5 to 2.0 s.

--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -32,18 +32,20 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: probes,
 		},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var err error
-			ms := int(silence.Milliseconds())
-			cerr := c.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, ms)
-			})
-			if cerr != nil {
-				return cerr
-			}
-			return err
-		},
+		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, silence) },
+	}
+}
+
+// setUserTimeout sets the option TCP_USER_TIMEOUT of a socket; 0 clears it.
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
+	var err error
+	cerr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(d.Milliseconds()))
+	})
+	if cerr != nil {
+		return cerr
 	}
+	return err
 }
 
 // Network opens connections and listeners.
@@ -170,7 +172,34 @@
 // late on a reused connection would be taken for the response to the next request.
 func newBackendClient(d Network, c *credentials) *http.Client {
 	t := newTransport(d, c)
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialBackend(ctx, d, network, address)
+	}
 	t.DisableKeepAlives = true
 	t.MaxResponseHeaderBytes = maxBackendHeaderBytes
 	return &http.Client{Transport: t}
 }
+
+// dialBackend opens a connection to a backend server without TCP_USER_TIMEOUT: the kernel would
+// also close the connection of a server that does not read a large request for that long, though
+// the other end acknowledges all probes. Keep-alive probes find a dead server once the request has
+// been acknowledged.
+func dialBackend(ctx context.Context, d Network, network, address string) (net.Conn, error) {
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		err = setUserTimeout(raw, 0)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, Error.Wrap(err)
+	}
+	return conn, nil
+}
