relayer: the owner of a group ends a request before the entry in front of it

A request without Timeout-Ms that waited in the owner's queue for almost queue_wait, and whose server answered just within first_token, was given up by the entry in front of the owner: it waited for the sum of both from its own sending, without the time that messages take.

The entry now waits a second longer, as it did between tokens.

--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -75,7 +75,7 @@
 	req.ContentLength = int64(len(r.Body))
 	req.Header = forwardableHeader(r.Header)
 	p.setHeaders(req.Header, g, r)
-	silence := newSilenceWatch(r, p.Limits.MaxQueueWait+p.Limits.FirstTokenTimeout, cancel)
+	silence := newSilenceWatch(r, p.Limits.MaxQueueWait+p.Limits.FirstTokenTimeout+peerSlack, cancel)
 	resp, err := p.Client.Do(req)
 	timedOut := !silence.pause()
 	if err != nil {
@@ -88,10 +88,14 @@
 		defer silence.pause()
 		return nil, parsePeerRefusal(resp)
 	}
-	body := &peerResponseBody{body: resp.Body, cancel: cancel, silence: silence, idleTimeout: p.Limits.InterTokenTimeout + time.Second}
+	body := &peerResponseBody{body: resp.Body, cancel: cancel, silence: silence, idleTimeout: p.Limits.InterTokenTimeout + peerSlack}
 	return &Response{Status: resp.StatusCode, Header: forwardableHeader(resp.Header), Body: body}, nil
 }
 
+// peerSlack is how much longer an entry waits for another one than that one waits for the server,
+// so that the owner of the group ends a request, and its message can arrive.
+const peerSlack = time.Second
+
 func (p *PeerClient) setHeaders(header http.Header, g identifier.Group, r *Request) {
 	header.Set(headerPeerKey, p.PeerKey)
 	header.Set(headerGroup, string(g))
