--- a/internal/server/system_test.go
+++ b/internal/server/system_test.go
@@ -212,6 +212,11 @@
 }
 
 func (w *testCluster) setEvacuatedVia(entry string, d identifier.FailureDomain, evacuated bool) {
+	w.t.Helper()
+	w.setDrainVia(entry, &trefoilheadv1.Drain{Kind: "failure_domain", Id: string(d)}, evacuated)
+}
+
+func (w *testCluster) setDrainVia(entry string, target *trefoilheadv1.Drain, drained bool) {
 	w.t.Helper()
 	ctx := context.Background()
 	op := w.operatorClient(entry)
@@ -221,7 +226,7 @@
 	}
 	_, err = op.SetDrain(ctx, connect.NewRequest(&trefoilheadv1.SetDrainRequest{
 		RequestId: fmt.Sprintf("drain-%d", current.Msg.GetRevision()), ExpectedRevision: current.Msg.GetRevision(),
-		Drained: evacuated, Target: &trefoilheadv1.Drain{Kind: "failure_domain", Id: string(d)},
+		Drained: drained, Target: target,
 	}))
 	if err != nil {
 		w.t.Fatal(err)
