fronter: do not take a suspension for quiet during a stop

What callers saw: requests that had waited for 0.3 to 0.9 s at a front that stops and gets little processor time ended with their connection, and without an answer, when the front closed its listener.

Cause: the front closes its listener and open connections once no request has come for 250 ms, or at 7.3 s of 8. Both are times on a clock. After a suspension the timers of the stop run first, and requests that wait in the kernel are dropped.

Evidence: TestPlannedStopAnswersAfterSuspension, before: "a request that came during a suspension: unexpected EOF".

--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -63,8 +63,10 @@
 	quietTime       = 250 * time.Millisecond
 	listenerMargin  = 200 * time.Millisecond
 	lateRequestTime = 100 * time.Millisecond
-	// stopCheckInterval is how often requests in flight are looked for meanwhile.
+	// stopCheckInterval is how often requests in flight are looked for meanwhile. If a check
+	// takes longer than maxStopCheckTime, the process was suspended or short of processor time.
 	stopCheckInterval = 20 * time.Millisecond
+	maxStopCheckTime  = 100 * time.Millisecond
 	// shutdownMargin is how long before the end of the grace period the requests that
 	// are still in flight are ended, and finalAnswerTime how long their final answers may take.
 	shutdownMargin  = 500 * time.Millisecond
@@ -302,10 +304,21 @@
 	_ = level.Info(f.Logger).Log("msg", "front process "+step, "after", time.Since(start).Round(time.Millisecond), "in_flight", f.forwarder.InFlight())
 }
 
-// awaitQuiet returns once no request has come or been in flight for quietTime, at the latest at until.
+// awaitQuiet returns once no request has come or been in flight for quietTime, at the latest at until. Requests may have
+// come while the process was suspended, so a check that was late is followed by another one.
 func (f *Front) awaitQuiet(until time.Time) {
-	for time.Now().Before(until) && f.forwarder.QuietFor() < quietTime {
+	wasLate := false
+	for {
+		checkedAt := f.Elapsed()
 		time.Sleep(stopCheckInterval)
+		late := f.Elapsed()-checkedAt > maxStopCheckTime
+		switch {
+		case late && !wasLate:
+			// Requests that came meanwhile are read before the next check.
+		case !time.Now().Before(until), !late && f.forwarder.QuietFor() >= quietTime:
+			return
+		}
+		wasLate = late
 	}
 }
 
--- a/internal/fronter/stop_test.go
+++ b/internal/fronter/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,8 +22,8 @@
 func (noDialect) RewriteRequest(http.Header, forwarder.ForwardInfo) {}
 func (noDialect) ParseResponse(http.Header) forwarder.ResponseInfo  { return forwarder.ResponseInfo{} }
 
-// startFront runs a front f without core processes.
-func startFront(t *testing.T) (f *Front, network *piper.Network, stop func(), stopped <-chan struct{}) {
+// startFront runs a front f without core processes. Its clock advances by late more than the others do.
+func startFront(t *testing.T, late *atomic.Int64) (f *Front, network *piper.Network, stop func(), stopped <-chan struct{}) {
 	t.Helper()
 	network = piper.New()
 	set := configurer.NodeSettings{
@@ -32,7 +33,7 @@
 	startedAt := time.Now()
 	f = &Front{
 		Settings: set, Logger: log.NewNopLogger(), Network: piper.Host{Network: network, Name: "f"}, Dialect: noDialect{},
-		ReadinessHandler: http.NotFoundHandler(), Elapsed: func() time.Duration { return time.Since(startedAt) },
+		ReadinessHandler: http.NotFoundHandler(), Elapsed: func() time.Duration { return time.Since(startedAt) + time.Duration(late.Load()) },
 	}
 	f.Init()
 	ctx, stop := context.WithCancel(context.Background())
@@ -51,7 +52,7 @@
 // kept ones until the process is gone, faster than any quiet time.
 func TestPlannedStopAnswersAcceptedRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, network, stop, stopped := startFront(t)
+		f, network, stop, stopped := startFront(t, &atomic.Int64{})
 		set := f.Settings
 		time.Sleep(time.Second)
 		host := piper.Host{Network: network, Name: "caller"}
@@ -93,7 +94,7 @@
 // was closed, and are read and dropped.
 func TestPlannedStopAnswersOnOpenConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, network, stop, stopped := startFront(t)
+		f, network, stop, stopped := startFront(t, &atomic.Int64{})
 		time.Sleep(time.Second)
 		host := piper.Host{Network: network, Name: "caller"}
 		stop()
@@ -125,3 +126,38 @@
 		synctest.Wait()
 	})
 }
+
+// TestPlannedStopAnswersAfterSuspension guards against requests that came while the front got no processor time, and that
+// it drops because it takes that time for quiet.
+func TestPlannedStopAnswersAfterSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var late atomic.Int64
+		_, network, stop, stopped := startFront(t, &late)
+		time.Sleep(time.Second)
+		host := piper.Host{Network: network, Name: "caller"}
+		stop()
+		time.Sleep(drainDelay - 10*time.Millisecond)
+		busy, err := host.DialContext(context.Background(), "tcp", "f:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := sendRequest(busy); err != nil {
+			t.Fatal(err)
+		}
+		waiting, err := host.DialContext(context.Background(), "tcp", "f:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		// The front is suspended. When it goes on, its timers come before the request that has come meanwhile.
+		late.Store(int64(time.Second))
+		time.Sleep(stopCheckInterval + time.Millisecond)
+		if err := sendRequest(waiting); err != nil {
+			t.Errorf("a request that came during a suspension: %v", err)
+		}
+		<-stopped
+		network.Kill("caller")
+		network.Kill("f")
+		synctest.Wait()
+	})
+}
