trefoilhead: take SIGHUP from the start of a process on

What callers saw: all connections of a front were closed, with requests that servers had at work, when a SIGHUP came just after the front had begun to serve.

Cause: the signal was registered by the goroutine that watches the settings. The listener could be open before that goroutine ran, and until then a SIGHUP ends the process.

Change: front and core processes register the signal before they load their settings. One that comes meanwhile is kept.

--- a/cmd/trefoilhead/node.go
+++ b/cmd/trefoilhead/node.go
@@ -45,7 +45,7 @@
 
 func newNodeCommand(
 	name, help string, role configurer.Role,
-	run func(ctx context.Context, file string, cfg configurer.NodeSettings, l log.Logger, registry metrics.Registry) error,
+	run func(ctx context.Context, source settingsSource, cfg configurer.NodeSettings, l log.Logger, registry metrics.Registry) error,
 ) *ffcli.Command {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	file := fs.String("settings", name+".yaml", "settings file")
@@ -54,6 +54,9 @@
 		Name: name, ShortUsage: "trefoilhead " + name + " -settings FILE", ShortHelp: help,
 		FlagSet: fs, Options: flagOptions(fs),
 		Exec: func(ctx context.Context, _ []string) error {
+			source := settingsSource{file: *file, sighups: make(chan os.Signal, 1)}
+			// Until this call a SIGHUP ends the process.
+			signal.Notify(source.sighups, syscall.SIGHUP)
 			cfg, err := configurer.LoadNodeSettings(*file, role)
 			if err != nil {
 				return err
@@ -68,11 +71,17 @@
 			defer w.Close()
 			registry := metrics.NewRegistry()
 			metrics.NewRegisteredFunctionalGauge("log_lines_omitted", registry, w.OmittedLines)
-			return run(ctx, *file, cfg, newNodeLogger(w, cfg.Logs.Level), registry)
+			return run(ctx, source, cfg, newNodeLogger(w, cfg.Logs.Level), registry)
 		},
 	}
 }
 
+// settingsSource is the settings file of a process, and the signals upon which it is loaded again.
+type settingsSource struct {
+	file    string
+	sighups chan os.Signal
+}
+
 // newNodeLogger returns a logger that writes to w. A front or core process logs to
 // standard output, where the platform collects logs.
 func newNodeLogger(w *logger.Writer, minLevel string) log.Logger {
@@ -81,18 +90,18 @@
 	return level.NewFilter(l, level.Allow(level.ParseDefault(minLevel, level.InfoValue())))
 }
 
-func runFront(ctx context.Context, file string, cfg configurer.NodeSettings, l log.Logger, registry metrics.Registry) error {
+func runFront(ctx context.Context, source settingsSource, cfg configurer.NodeSettings, l log.Logger, registry metrics.Registry) error {
 	f := &fronter.Front{
 		Settings: cfg, Logger: l, Network: server.NewNetwork(connTimeout), Dialect: platform.Dialect{}, Metrics: registry,
 		DecodeCatalog: platform.DecodeCatalog, Elapsed: timekeeper.SinceBoot, Seed: uint64(time.Now().UnixNano()),
 	}
 	f.ReadinessHandler = platform.NewReadinessHandler(f.Ready)
 	f.Init()
-	go watchSettings(ctx, file, configurer.RoleFront, l, f.SetSeedPeers)
+	go watchSettings(ctx, source, configurer.RoleFront, l, f.SetSeedPeers)
 	return f.Run(ctx)
 }
 
-func runCore(ctx context.Context, file string, cfg configurer.NodeSettings, l log.Logger, registry metrics.Registry) error {
+func runCore(ctx context.Context, source settingsSource, cfg configurer.NodeSettings, l log.Logger, registry metrics.Registry) error {
 	network := server.NewNetwork(connTimeout)
 	c := &coordinator.Coordinator{
 		Settings: cfg, Logger: l, Network: network, Metrics: registry, DecodeCatalog: platform.DecodeCatalog,
@@ -106,17 +115,15 @@
 	}
 	c.ControlHandler = platform.NewControlHandler(c, l)
 	c.Init()
-	go watchSettings(ctx, file, configurer.RoleCore, l, c.AddSeeds)
+	go watchSettings(ctx, source, configurer.RoleCore, l, c.AddSeeds)
 	return c.Run(ctx)
 }
 
 // watchSettings applies the settings that may change while a process runs, whenever
 // the settings file changes or the process receives SIGHUP.
-func watchSettings(ctx context.Context, file string, role configurer.Role, l log.Logger, apply func(*configurer.NodeSettings)) {
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	reloader.Watch(ctx, file, sighups, func() {
-		cfg, err := configurer.LoadNodeSettings(file, role)
+func watchSettings(ctx context.Context, source settingsSource, role configurer.Role, l log.Logger, apply func(*configurer.NodeSettings)) {
+	reloader.Watch(ctx, source.file, source.sighups, func() {
+		cfg, err := configurer.LoadNodeSettings(source.file, role)
 		if err != nil {
 			_ = level.Error(l).Log("msg", "cannot load changed settings; keeping the current ones", "err", err)
 			return
