fronter: a listener that fails ends no running answers

Callers saw all answers of a front end with a closed connection as soon as one of its listeners failed, also the one for metrics or readiness. Cause: Run returned at once. The front now stops as it does when it is told to, and a metrics address that cannot be listened on is found before callers are served.

--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -213,8 +213,8 @@
 	return !f.stopping.Load() && f.hasUpdate.Load() && f.forwarder.CanServe()
 }
 
-// Run serves until ctx is done, and then until the requests in flight have ended or
-// the grace period is nearly over.
+// Run serves until ctx is done or a listener fails, and then until the requests in flight have
+// ended or the grace period is nearly over.
 func (f *Front) Run(ctx context.Context) error {
 	_ = level.Info(f.Logger).Log("msg", "front process starts", "vm", f.Settings.VM, "callers", f.Settings.CallersAddress)
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -227,6 +227,12 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	var metricsListener net.Listener
+	if f.Settings.MetricsAddress != "" {
+		if metricsListener, err = f.Network.Listen(ctx, "tcp", f.Settings.MetricsAddress); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	failed := make(chan error, 3)
 	readiness := &http.Server{Handler: f.ReadinessHandler, ReadHeaderTimeout: linkSilenceTimeout}
 	defer func() { _ = readiness.Close() }()
@@ -241,18 +247,15 @@
 	defer cancel()
 	wg.Go(func() { f.pullLoop(workCtx) })
 	wg.Go(func() { f.maintenanceLoop(workCtx) })
-	if f.Settings.MetricsAddress != "" {
-		metricsListener, err := f.Network.Listen(ctx, "tcp", f.Settings.MetricsAddress)
-		if err != nil {
-			return Error.Wrap(err)
-		}
+	if metricsListener != nil {
 		metricsServer := &http.Server{Handler: exposer.NewHandler(f.Metrics, f.dump), ReadHeaderTimeout: linkSilenceTimeout}
 		defer func() { _ = metricsServer.Close() }()
 		go func() { failed <- metricsServer.Serve(metricsListener) }()
 	}
 	select {
 	case err := <-failed:
-		_ = level.Error(f.Logger).Log("msg", "a listener failed; front process stops without waiting for requests in flight", "err", err)
+		_ = level.Error(f.Logger).Log("msg", "a listener failed; front process stops", "err", err)
+		f.shutdown(server, callerListener)
 		return Error.Wrap(err)
 	case <-ctx.Done():
 	}
