forwarder: an isolation ends no answer that has gone on

Callers lost answers that were under way, with events or of which they had a part, when their request was isolated: streams were cut, plain answers became 502, also of requests that may run only once. Cause: SetIsolations takes back every answer to an isolated request, and every plain answer to one with an isolated part, since plain answers have no events.

--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/isolator"
 )
@@ -61,8 +62,8 @@
 }
 
 // SetIsolations replaces the isolations in force. Requests that they cover are taken from their
-// servers, but for those of which a part of the prompt is the reason and that have received an
-// event.
+// servers, but for those whose answer has gone on, and those of which a part of the prompt is the
+// reason and that have received an event.
 func (f *Forwarder) SetIsolations(next []isolator.Isolation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,7 +83,7 @@
 	st.isolations = next
 	for x := range f.activeExchanges {
 		i := x.q.isolation()
-		if i == nil || x.q.isTrial || x.hasFirstEvent() && !i.Key.IsRequest() {
+		if i == nil || x.q.isTrial || x.hasFirstEvent() && !i.Key.IsRequest() || x.hasGoneOn() {
 			continue
 		}
 		x.isolated = true
@@ -90,6 +91,12 @@
 	}
 }
 
+// hasGoneOn reports whether the answer has gone on: it has soundEvents or, if it is plain, a byte of its body. Its server is at
+// work on it, and may well not crash: what an isolation says of a request need not be so. The caller holds mu.
+func (x *exchange) hasGoneOn() bool {
+	return x.eventCount >= soundEvents || x.q.route.Kind != cataloger.Stream && x.lastEventAt.After(x.sentAt)
+}
+
 // isolation returns the isolation that covers the request, or nil. The caller holds mu.
 func (q *request) isolation() *isolator.Isolation {
 	for n := range q.f.isolation.isolations {
--- a/internal/forwarder/running_answers_test.go
+++ b/internal/forwarder/running_answers_test.go
@@ -429,3 +429,26 @@
 		})
 	}
 }
+
+// TestIsolatedRequestKeepsAnswerThatHasGoneOn guards against answers that are ended by an isolation while their server is at
+// work on them and has got beyond the start.
+func TestIsolatedRequestKeepsAnswerThatHasGoneOn(t *testing.T) {
+	for kind, k := range runningKinds() {
+		t.Run(kind, func(t *testing.T) {
+			for isolated, key := range map[string]isolator.Key{
+				"the request": {Service: k.service, Request: (&runningTestbed{runningKind: k}).digest()},
+				"a part":      {Service: k.service, Part: "part"},
+			} {
+				t.Run(isolated, func(t *testing.T) {
+					withRunning(t, k, k.serve(0), rawResponse(notRunResponse), func(tb *runningTestbed) {
+						tb.Dialect = partsTestDialect{}
+						time.AfterFunc(3*runningPause+runningPause/2, func() {
+							tb.SetIsolations([]isolator.Isolation{{Key: key, Traits: isolator.NewTraits("", "", []identifier.PromptPart{"part"})}})
+						})
+						tb.expectWhole(tb.request("running"))
+					})
+				})
+			}
+		})
+	}
+}
