fronter: read what callers still send before a connection is closed

What callers saw: during a planned stop an answer was cut off by a reset, after its server had ended, if the caller had sent more bytes behind its request (a blank line, another request) and the answer had not reached the caller yet.

Cause: a front that stops announces with each answer that the connection closes. It was closed with the caller's bytes unread. The kernel then resets the connection and drops what it has not sent. Also after an error answer to a body that is still coming.

Change: a connection that carries an answer is closed for writing first and read for up to 500 ms. Not at the very end of the process, and not if it is idle.

--- a/internal/fronter/callers.go
+++ b/internal/fronter/callers.go
@@ -1,6 +1,8 @@
 package fronter
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -22,6 +24,8 @@
 	// Timeouts that apply while there is no catalog or it does not set them.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 30 * time.Second
+	// lingerTime is how long a connection on which an answer was written is read before it is closed.
+	lingerTime = 500 * time.Millisecond
 	// maxHeaderBytes limits how much of a header is read before the catalog's limit
 	// is checked.
 	maxHeaderBytes = 1 << 20
@@ -34,8 +38,14 @@
 		Handler: h, ReadHeaderTimeout: placeholderTimeout, IdleTimeout: placeholderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: forwarder.ConnContext,
 		ConnState: func(c net.Conn, s http.ConnState) {
-			if lc, ok := c.(*limitedConn); ok && s == http.StateIdle {
+			lc, ok := c.(*limitedConn)
+			switch {
+			case !ok:
+			case s == http.StateIdle:
 				lc.awaitingRequest.Store(true)
+				lc.lingers.Store(false)
+			case s == http.StateActive:
+				lc.lingers.Store(true)
 			}
 		},
 	}
@@ -45,6 +55,8 @@
 type limitedListener struct {
 	net.Listener
 	limits func() cataloger.Limits
+	// ending is set when the process is about to end, so that its connections close at once.
+	ending atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -53,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	lc := &limitedConn{Conn: c, limits: l.limits}
+	lc := &limitedConn{Conn: c, limits: l.limits, ending: &l.ending}
 	// The idle timeout applies to a new connection, too.
 	lc.awaitingRequest.Store(true)
 	return lc, nil
@@ -67,10 +79,32 @@
 	// request, for which the idle timeout applies. The one after that is for the rest of
 	// the request's header.
 	awaitingRequest atomic.Bool
+	// lingers is set while the connection carries an answer.
+	lingers atomic.Bool
+	ending  *atomic.Bool
+}
+
+// Close implements net.Conn. If a connection is closed while it holds bytes that were not read, the kernel resets it and
+// drops what it has not sent yet. So the end of an answer is announced first, and what the caller still sends is read.
+func (lc *limitedConn) Close() error {
+	if lc.lingers.Swap(false) && !lc.ending.Load() && lc.CloseWrite() == nil && lc.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		// It ends with the caller's side of the connection or at the deadline.
+		_, _ = io.Copy(io.Discard, lc.Conn)
+	}
+	return lc.Conn.Close()
+}
+
+// CloseWrite is that of the TCP connection.
+func (lc *limitedConn) CloseWrite() error {
+	if c, ok := lc.Conn.(*net.TCPConn); ok {
+		return c.CloseWrite()
+	}
+	return errors.ErrUnsupported
 }
 
 // SetLinger is that of the TCP connection.
 func (lc *limitedConn) SetLinger(sec int) error {
+	lc.lingers.Store(false)
 	if c, ok := lc.Conn.(*net.TCPConn); ok {
 		return c.SetLinger(sec)
 	}
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -238,9 +238,8 @@
 	defer func() { _ = readiness.Close() }()
 	go func() { failed <- readiness.Serve(readinessListener) }()
 	server := newCallerServer(&f.forwarder)
-	go func() {
-		failed <- server.Serve(&limitedListener{Listener: callerListener, limits: f.forwarder.ConnectionLimits})
-	}()
+	limited := &limitedListener{Listener: callerListener, limits: f.forwarder.ConnectionLimits}
+	go func() { failed <- server.Serve(limited) }()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer f.linker.Close()
@@ -255,11 +254,11 @@
 	select {
 	case err := <-failed:
 		_ = level.Error(f.Logger).Log("msg", "a listener failed; front process stops", "err", err)
-		f.shutdown(server, callerListener)
+		f.shutdown(server, limited)
 		return Error.Wrap(err)
 	case <-ctx.Done():
 	}
-	f.shutdown(server, callerListener)
+	f.shutdown(server, limited)
 	return nil
 }
 
@@ -271,7 +270,7 @@
 // wait to be accepted are reset when it is closed. Requests that are left at the end get a
 // final answer. http.Server.Shutdown comes last, because the server drops the requests that
 // it reads from then on.
-func (f *Front) shutdown(server *http.Server, listener net.Listener) {
+func (f *Front) shutdown(server *http.Server, listener *limitedListener) {
 	start := time.Now()
 	grace := f.Settings.Bounds.ShutdownGrace()
 	_ = level.Info(f.Logger).Log("msg", "front process stops", "grace", grace)
@@ -297,6 +296,7 @@
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
+		listener.ending.Store(true)
 		err = server.Close()
 	}
 	_ = level.Info(f.Logger).Log("msg", "front process has stopped", "took", time.Since(start), "err", err)
