forwarder: a server may take its time to read a request

Callers got 502 although their server was reading the request and the limit was ahead, also for requests that may run once: 2 s after the write had begun, or after some 1.5 s if more than the kernel's buffers hold was left.

Cause: the write had a deadline of its own, and connections to backend servers had TCP_USER_TIMEOUT, by which the kernel also closes connections whose other end acknowledges all probes but reads nothing.

Over loopback, user timeout 1 s, a server that reads nothing for 2.5 s: bodies of 256 KiB and more were given up after 1.5 s.

Change: the request's limit bounds the write. Fronts open connections to servers as serve does, without that option. Keep-alive probes still find a VM that is gone.

--- a/cmd/trefoilhead/node.go
+++ b/cmd/trefoilhead/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -91,10 +92,14 @@
 }
 
 func runFront(ctx context.Context, source settingsSource, cfg configurer.NodeSettings, l log.Logger, registry metrics.Registry) error {
+	network := server.NewNetwork(connTimeout)
 	f := &fronter.Front{
-		Settings: cfg, Logger: l, Network: server.NewNetwork(connTimeout), Dialect: platform.Dialect{}, Metrics: registry,
+		Settings: cfg, Logger: l, Network: network, Dialect: platform.Dialect{}, Metrics: registry,
 		DecodeCatalog: platform.DecodeCatalog, Elapsed: timekeeper.SinceBoot, Seed: uint64(time.Now().UnixNano()),
 	}
+	f.DialBackend = func(ctx context.Context, protocol, address string) (net.Conn, error) {
+		return server.DialBackend(ctx, network, protocol, address)
+	}
 	f.ReadinessHandler = platform.NewReadinessHandler(f.Ready)
 	f.Init()
 	go watchSettings(ctx, source, configurer.RoleFront, l, f.SetSeedPeers)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -95,8 +95,6 @@
 	// that its connection can be reused.
 	maxSkippedBytes = 64 << 10
 	maxSkipTime     = 20 * time.Millisecond
-	// writeTimeout bounds writing a request to a server.
-	writeTimeout = 2 * time.Second
 )
 
 // hasFirstEvent reports whether an event of the answer was forwarded. The caller holds mu.
@@ -231,9 +229,6 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(q.body)
-	if err := x.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	var err error
 	q.unlocked(func() { _, err = x.conn.Write(b.Bytes()) })
 	return err
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -78,7 +78,9 @@
 	Settings configurer.NodeSettings
 	Logger   log.Logger
 	Network  coordinator.Network
-	Dialect  forwarder.Dialect
+	// DialBackend opens connections to backend servers. If nil, Network does.
+	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
+	Dialect     forwarder.Dialect
 	// DecodeCatalog decodes a catalog in the form in which the operator sent it, and
 	// indexes it.
 	DecodeCatalog func(data []byte) (*cataloger.Catalog, error)
@@ -178,6 +180,9 @@
 		Logger: f.Logger, PingInterval: linkPingInterval, SilenceTimeout: linkSilenceTimeout, Compress: true,
 	}
 	f.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if f.DialBackend != nil {
+			return f.DialBackend(ctx, "tcp", address)
+		}
 		return f.Network.DialContext(ctx, "tcp", address)
 	}
 	f.forwarder = forwarder.Forwarder{
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -173,18 +173,18 @@
 func newBackendClient(d Network, c *credentials) *http.Client {
 	t := newTransport(d, c)
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return dialBackend(ctx, d, network, address)
+		return DialBackend(ctx, d, network, address)
 	}
 	t.DisableKeepAlives = true
 	t.MaxResponseHeaderBytes = maxBackendHeaderBytes
 	return &http.Client{Transport: t}
 }
 
-// dialBackend opens a connection to a backend server without TCP_USER_TIMEOUT: the kernel would
+// DialBackend opens a connection to a backend server without TCP_USER_TIMEOUT: the kernel would
 // also close the connection of a server that does not read a large request for that long, though
 // the other end acknowledges all probes. Keep-alive probes find a dead server once the request has
 // been acknowledged.
-func dialBackend(ctx context.Context, d Network, network, address string) (net.Conn, error) {
+func DialBackend(ctx context.Context, d Network, network, address string) (net.Conn, error) {
 	conn, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
