forwarder: keep to the bounds of a request while several servers work on it

- A request could run at one server more than its route allows, with three attempts or more: an exchange counted as a run only once it had a header or another server was tried in its place.
- Other servers could be tried for an exchange that another one had superseded, or after the whole answer.
- The answer of a silent server with a status of 4xx was dropped for others that might reject the request: 502 in its place.
- Long plain answers, and plain answers to slow callers, were still reported as stalled.
- A permit that was reserved for a move that was not made was not returned.
- Comments that were held at the end of a stream were lost.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -43,6 +43,8 @@
 	cancel context.CancelFunc
 	// superseded is set once another attempt has gone on with the answer.
 	superseded bool
+	// isFirst is set unless other servers are tried because one is silent.
+	isFirst bool
 }
 
 const (
@@ -90,6 +92,7 @@
 			continue
 		}
 		at := a.newAttempt()
+		at.isFirst = true
 		result := a.forwardFrom(at, choice)
 		a.endAttempt(at)
 		q.unlocked(a.others.Wait)
@@ -105,11 +108,10 @@
 	q := a.q
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !x.isStillSilent(events) {
+	if x.attempt.superseded || a.isWhole || a.isAborted || !x.isStillSilent(events) {
 		x.endMove(time.Time{})
 		return
 	}
-	x.recordRun()
 	if q.moves > 0 {
 		q.triedAgainFrom = len(q.tried)
 	}
@@ -117,7 +119,7 @@
 	q.triesFrom = tries{q.rejections, q.connectFailures}
 	at := a.newAttempt()
 	defer a.endAttempt(at)
-	for result := resultMayHaveRun; !at.superseded && q.allowRetry(result); {
+	for result := resultMayHaveRun; !at.superseded && q.hasServerLeft() && q.allowRetry(result); {
 		choice := q.chooseServer(true)
 		if choice.Server == nil {
 			break
@@ -247,10 +249,12 @@
 	}
 	q.writeResponseHeader(x)
 	caller := callerWriter{q.w}
+	x.beginWrite()
 	_, err = caller.Write(data)
+	x.endWrite()
 	complete := len(data) < maxBufferedResponse
 	if err == nil && !complete {
-		q.unlocked(func() { _, err = io.Copy(caller, x.resp.Body) })
+		q.unlocked(func() { _, err = io.Copy(waitingWriter{x, caller}, plainBody{x}) })
 		complete = err == nil
 	}
 	var writeErr *callerWriteError
@@ -280,6 +284,19 @@
 	return n, err
 }
 
+// waitingWriter writes to the caller of an exchange. Its server is not silent meanwhile.
+type waitingWriter struct {
+	x *exchange
+	io.Writer
+}
+
+// Write implements io.Writer.
+func (w waitingWriter) Write(p []byte) (int, error) {
+	w.x.beginWrite()
+	defer w.x.endWrite()
+	return w.Writer.Write(p)
+}
+
 // pin prevents that other servers are tried: the caller has a part of an answer that cannot be resumed.
 func (x *exchange) pin() {
 	x.q.f.mu.Lock()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -138,6 +138,12 @@
 		conn.Discard()
 		return nil, resultNotSent
 	}
+	if len(q.open) > 0 && q.possibleRuns >= q.route.MaxAttempts {
+		// Another attempt has sent the last run that the route allows since this one chose its server.
+		q.returnPermit(s.ID)
+		conn.Discard()
+		return nil, resultNotSent
+	}
 	now := time.Now()
 	x := &exchange{q: q, attempt: at, server: s.ID, incarnation: identifier.Incarnation(s.Incarnation), serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
 	// When the caller disconnects, the request's deadline passes or another attempt has gone on with the answer,
@@ -149,6 +155,7 @@
 	f.activeExchanges[x] = struct{}{}
 	f.mu.Unlock()
 	q.open[x] = struct{}{}
+	x.recordRun()
 	q.tried = append(q.tried, s.ID)
 	q.predictedDelay = c.PredictedDelay
 	if err := x.writeRequest(q.answer.resumeAfter()); err != nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -333,6 +333,7 @@
 		return
 	}
 	defer q.returnTrial()
+	defer q.returnReserved()
 	q.serve()
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -284,6 +284,16 @@
 	return c
 }
 
+// returnReserved returns the permit for a send that was not made.
+func (q *request) returnReserved() {
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	if c := q.reserved; c.Server != nil {
+		q.reserved = chooser.Choice{}
+		q.f.chooser.Allowance.Return(c.Server.ID)
+	}
+}
+
 // reserveSend reserves the request's next retry, and the permit for it if the chosen server
 // has named a rate: other requests could use up the permit before this one is sent again. It
 // reports whether it did. The caller holds mu.
@@ -493,13 +503,21 @@
 // in favor of a retry at another server, for which the retry has been reserved, or a failure while another server is
 // at work.
 func (q *request) shouldRetryFailure(x *exchange) bool {
-	if x.resp.StatusCode >= http.StatusMultipleChoices && q.answer.hasOthers() {
+	if q.answer.hasOthers() && (x.resp.StatusCode >= http.StatusInternalServerError || x.resp.StatusCode >= http.StatusMultipleChoices && !x.attempt.isFirst) {
 		return true
 	}
 	return x.resp.StatusCode >= http.StatusInternalServerError && q.route.Retryable() &&
 		q.possibleRuns < q.route.MaxAttempts && q.reserveMove()
 }
 
+// hasServerLeft reports whether there is another server that could take the request now.
+func (q *request) hasServerLeft() bool {
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	now := time.Now()
+	return q.reserved.Server != nil || q.f.chooser.Choose(now, q.serverRequest(now, true)).Server != nil
+}
+
 // reserveMove reports whether another server could take the request now, and if so
 // reserves the retry.
 func (q *request) reserveMove() bool {
--- a/internal/forwarder/seeming_silence_test.go
+++ b/internal/forwarder/seeming_silence_test.go
@@ -270,18 +270,29 @@
 // TestServerAtWorkIsNotReportedAsStalled guards against groups that the core processes end while their heads are at work,
 // because a front has not read what they sent, or has read plain answers, which have no events.
 func TestServerAtWorkIsNotReportedAsStalled(t *testing.T) {
-	stream, plain := runningKinds()["stream of a group"], runningKinds()["once"]
+	stream, plain, long := runningKinds()["stream of a group"], runningKinds()["once"], runningKinds()["long, once"]
 	plain.path, plain.service = "/plain/x", "llm"
+	long.path, long.service = "/plain/x", "llm"
+	last := len(long.parts) - 1
+	manyParts := long
+	manyParts.parts = []string{strings.Join(long.parts[:last], "")}
+	for piece := range slices.Chunk([]byte(long.parts[last]), len(long.parts[last])/8) {
+		manyParts.parts = append(manyParts.parts, string(piece))
+	}
 	for name, test := range map[string]struct {
 		kind    runningKind
 		pause   time.Duration
 		prepare func(tb *runningTestbed)
 	}{
-		"even stream":        {stream, runningPause, func(*runningTestbed) {}},
-		"steady plain body":  {plain, 200 * time.Millisecond, func(*runningTestbed) {}},
-		"suspended front":    {stream, runningPause, (*runningTestbed).suspendOnce},
-		"slow caller":        {stream, runningPause, (*runningTestbed).readSlowly},
-		"slow caller of all": {stream, 0, (*runningTestbed).readSlowly},
+		"even stream":       {stream, runningPause, func(*runningTestbed) {}},
+		"steady plain body": {plain, 200 * time.Millisecond, func(*runningTestbed) {}},
+		// The caller has a part of the answer while the rest comes.
+		"steady end of a long plain body": {manyParts, 200 * time.Millisecond, func(*runningTestbed) {}},
+		"slow caller, plain":              {plain, runningPause, (*runningTestbed).readSlowly},
+		"slow caller, long plain":         {long, runningPause, (*runningTestbed).readSlowly},
+		"suspended front":                 {stream, runningPause, (*runningTestbed).suspendOnce},
+		"slow caller":                     {stream, runningPause, (*runningTestbed).readSlowly},
+		"slow caller of all":              {stream, 0, (*runningTestbed).readSlowly},
 	} {
 		t.Run(name, func(t *testing.T) {
 			k := test.kind
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -47,6 +47,12 @@
 		if !q.headerSent {
 			a.writeHeader(x)
 		}
+		if len(x.heldComments) > 0 {
+			if _, err := (callerWriter{q.w}).Write(x.heldComments); err != nil {
+				x.finish(true, true)
+				return a.end(x.resp.StatusCode, outcomeCallerLeft)
+			}
+		}
 		x.finish(true, true)
 		return a.end(x.resp.StatusCode, outcomeServed)
 	case errors.As(err, &writeErr):
