grouper: let orders without a response take their timeout in tests

The simulated fleet told the Grouper in the next step, after 50 ms, that an order had got no response. Core processes learn that after 300 ms (orderTimeout of the coordinator), so the repair of a group whose head is gone looked 250 ms quicker than it is.

--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -20,6 +20,7 @@
 	silenceTimeout    = 3 * time.Second
 	warmJoinTime      = 200 * time.Millisecond
 	openTime          = 300 * time.Millisecond
+	orderTimeout      = 300 * time.Millisecond
 	stallTimeout      = 6 * time.Second
 	testFabric        = "f1"
 	// usualPassTime is the time between two events of a group under load.
@@ -112,11 +113,12 @@
 	pendingOutcomes []orderOutcome
 }
 
-// orderOutcome is an order with its outcome, which the Grouper gets in the next
-// step.
+// orderOutcome is an order with its outcome, which the Grouper gets in the first step
+// from knownAt on.
 type orderOutcome struct {
 	order   Order
 	outcome Outcome
+	knownAt time.Time
 }
 
 func newFleet(t testFailer, models []cataloger.Model, counts map[identifier.FabricDomain]int) *fleet {
@@ -176,6 +178,10 @@
 	outcomes := f.pendingOutcomes
 	f.pendingOutcomes = nil
 	for _, o := range outcomes {
+		if f.now.Before(o.knownAt) {
+			f.pendingOutcomes = append(f.pendingOutcomes, o)
+			continue
+		}
 		f.grouper.HandleReply(f.now, o.order, f.replyTo(o))
 	}
 	orders, decisions := f.grouper.Step(f.now, View{
@@ -186,7 +192,11 @@
 		f.logf("%s %s %s", d.Message, d.Group.Model, strings.Join(serverNames(d.Group.Members), ","))
 	}
 	for _, o := range orders {
-		f.pendingOutcomes = append(f.pendingOutcomes, orderOutcome{o, f.deliverOrder(o)})
+		sent := orderOutcome{order: o, outcome: f.deliverOrder(o)}
+		if sent.outcome == OutcomeUnanswered {
+			sent.knownAt = f.now.Add(orderTimeout)
+		}
+		f.pendingOutcomes = append(f.pendingOutcomes, sent)
 		f.logOrder(o)
 	}
 }
