grouper: close no group at work because its head pauses

Callers lost the answers of a whole group, streams in their midst, although its servers were at work: the group was closed with closeMode cut and formed again.

Cause: two requests without progress and a head that had sent nothing to any front for 450 ms (a pass and the lag of the reports, where that is longer; 350 ms more for one request) were taken for a group at a standstill. Members were probed, but nobody waited for the outcome. The same happened to a group with a slow member, to the first long prompt of a head that had been idle (its last response is old), and on the last report of a front that stands still itself, which counts for 1.5 s.

Now such requests are a reason to probe the members. The group is ended with cut if a member does not respond to its probe while the head still sends nothing (a head that does not respond is abandoned, as it was after its close order got no response), or after 6 s, when the platform breaks a group at a standstill by itself. A group in which a probe finds a slow member is closed with wait. A probe without a response, or a refused connection, no longer counts as a lost member by itself. One stalled request now counts like two, since it only causes a probe.

Not covered: the process of a member stands still for longer than the 0.75 s until its probe has failed; and a head that lost only the way to a member is now replaced when it breaks, after 6 s.

--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -66,6 +66,11 @@
 	slowdown float64
 	// lastResponseAt is when a front process last received an event of the engine.
 	lastResponseAt time.Time
+	// pausedUntil is until when the head sends no event, although it is at work and
+	// responds to everything else.
+	pausedUntil time.Time
+	// closesAt is when the requests end that a closing head waits for.
+	closesAt time.Time
 }
 
 // lateOrder is an order that got no response and that the engine executes later.
@@ -105,6 +110,12 @@
 	fencing   bool
 	evacuated map[identifier.FailureDomain]bool
 	demand    map[string]float64
+	// answerTime is how long after a close order with closeMode wait the last running
+	// request ends.
+	answerTime time.Duration
+	// cutsAtWork describes the close orders that cut off the requests of a head at work:
+	// no member of its group was lost.
+	cutsAtWork []string
 	// firstRequestAt is when the first request came.
 	firstRequestAt  time.Time
 	violations      []string
@@ -271,10 +282,7 @@
 		if !isMember {
 			return OutcomeUnfit
 		}
-		if m.State == tracker.StateOpen || !e.opensAt.IsZero() {
-			m.State, e.opensAt, e.changed = tracker.StateReady, time.Time{}, true
-		}
-		return OutcomeDone
+		return f.executeClose(e, o)
 	case ActionLeave:
 		if !isMember {
 			return OutcomeUnfit
@@ -285,6 +293,24 @@
 	return OutcomeUnfit
 }
 
+func (f *fleet) executeClose(e *engine, o Order) Outcome {
+	m := &e.membership
+	serves := m.State == tracker.StateOpen || m.State == tracker.StateClosing
+	if serves && o.CutRequests && len(f.demand) > 0 && f.isComplete(e) {
+		f.cutsAtWork = append(f.cutsAtWork, fmt.Sprintf("%6.2f %s: %s", f.now.Sub(f.startedAt).Seconds(), o.Group, o.Reason))
+	}
+	if serves && !o.CutRequests && f.answerTime > 0 {
+		if m.State == tracker.StateOpen {
+			m.State, e.closesAt, e.changed = tracker.StateClosing, f.now.Add(f.answerTime), true
+		}
+		return OutcomeAccepted
+	}
+	if serves || !e.opensAt.IsZero() {
+		m.State, e.opensAt, e.changed = tracker.StateReady, time.Time{}, true
+	}
+	return OutcomeDone
+}
+
 func (f *fleet) model(name string) cataloger.Model {
 	m, _ := f.catalog.Services[0].Engine.Model(name)
 	return m
@@ -357,6 +383,9 @@
 		m.State, e.changed = tracker.StateReady, true
 		e.readyEpochs[m.Epoch] = true
 	}
+	if m.State == tracker.StateClosing && !f.now.Before(e.closesAt) {
+		m.State, e.changed = tracker.StateReady, true
+	}
 	if !e.opensAt.IsZero() && !f.now.Before(e.opensAt) {
 		m.State, e.opensAt, e.changed = tracker.StateOpen, time.Time{}, true
 		f.checkOpenedGroup(e)
@@ -456,7 +485,7 @@
 // lastResponse returns when the front processes last received an event of a head, as
 // far as their reports show.
 func (f *fleet) lastResponse(e *engine) time.Time {
-	if e.alive && !e.cutFromFronts && e.membership.State == tracker.StateOpen && f.isComplete(e) {
+	if e.alive && !e.cutFromFronts && e.membership.State == tracker.StateOpen && f.isComplete(e) && !f.now.Before(e.pausedUntil) {
 		e.lastResponseAt = f.now
 		if pass := f.passTimeOf(e); pass > 0 {
 			// The end of the last pass that the reports can show.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -72,6 +72,9 @@
 	// headSilentSince is when the head was found silent, or when requests last
 	// showed that it responds nevertheless. It is zero while the head is not silent.
 	headSilentSince time.Time
+	// stalledSince is when requests at the head were first found to make no progress
+	// since its last response, or zero.
+	stalledSince time.Time
 	// headClosed is set once the head has confirmed that it does not serve, headLeft
 	// once it has confirmed that it has left the group.
 	headClosed bool
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -17,12 +17,12 @@
 	// operators have evacuated their failure domain.
 	conditionLeaving
 	// conditionSilent members have sent no heartbeat for longer than the registry's
-	// silence timeout. A head also counts as silent if no process listens at its
-	// address.
+	// silence timeout, no process listens at their address or, except for the head,
+	// they do not respond to a probe. A network partition shows in the same way, so
+	// this alone does not prove that the group is at a standstill.
 	conditionSilent
-	// conditionLost members are not known, have restarted, are superseded, are in
-	// another epoch or, except for the head, do not respond to a probe or have no
-	// process at their address.
+	// conditionLost members are not known, have restarted, are superseded or are in
+	// another epoch.
 	conditionLost
 )
 
@@ -53,15 +53,10 @@
 		return conditionLost, fmt.Sprintf("%s has restarted", id)
 	case s.Superseded:
 		return conditionLost, fmt.Sprintf("another server has the address of %s", id)
-	case i > 0 && g.failedProbe(s):
-		return conditionLost, fmt.Sprintf("%s does not respond to a probe", id)
 	case r.absentAt.After(s.LastHeartbeatAt):
-		// Connections may also be refused in a network partition, so this does not
-		// prove that a head is dead.
-		if i == 0 {
-			return conditionSilent, fmt.Sprintf("no process listens at the address of %s", id)
-		}
-		return conditionLost, fmt.Sprintf("no process listens at the address of %s", id)
+		return conditionSilent, fmt.Sprintf("no process listens at the address of %s", id)
+	case i > 0 && g.failedProbe(s):
+		return conditionSilent, fmt.Sprintf("%s does not respond to a probe", id)
 	case s.Gone:
 		return conditionLeaving, fmt.Sprintf("%s leaves", id)
 	case (gr.info.Phase == PhaseServing || gr.info.Phase == PhaseAbandoned && i > 0) && s.Membership.Epoch != gr.info.Epoch:
@@ -160,7 +155,8 @@
 }
 
 // stepServing ends a group that takes requests once its head or another member
-// fails or leaves, or once its requests are stalled.
+// fails or leaves. Requests that make no progress are a reason to probe the members,
+// but none to cut off the requests of a group at work.
 func (g *Grouper) stepServing(gr *group) {
 	headIs, headText := g.memberCondition(gr, 0)
 	memberIs, memberText := g.worstCondition(gr)
@@ -168,9 +164,12 @@
 	suspicion, found := g.view.Suspicions[gr.info.Members[0]]
 	// Reports of responses take some hundred milliseconds to arrive.
 	responds := found && suspicion.SinceLastResponse < g.Policy.HeartbeatInterval
-	threshold := g.stallThreshold(gr)
-	stalled := found && (suspicion.StalledRequests >= minStalledRequests && suspicion.SinceLastResponse >= threshold ||
-		suspicion.StalledRequests > 0 && suspicion.SinceLastResponse >= threshold+singleStallExtra)
+	slow := g.slowMember(gr)
+	unresponsive, unresponsiveText := -1, ""
+	if g.isStalled(gr, suspicion) {
+		g.probeStalledMembers(gr)
+		unresponsive, unresponsiveText = g.unresponsiveMember(gr, suspicion)
+	}
 	switch {
 	case headIs == conditionLost:
 		g.removeGroup(gr, headText)
@@ -184,6 +183,10 @@
 		g.stepSilentHead(gr, suspicion, found)
 	case memberIs == conditionLost:
 		g.endGroup(gr, true, memberText)
+	case unresponsive == 0:
+		g.abandonGroup(gr, unresponsiveText)
+	case unresponsive > 0:
+		g.endGroup(gr, true, unresponsiveText)
 	case memberIs == conditionSilent && !responds:
 		// A member that is silent only to the core processes does not stop the head
 		// from serving.
@@ -192,18 +195,56 @@
 		g.endGroup(gr, false, headText)
 	case memberIs == conditionLeaving:
 		g.endGroup(gr, false, memberText)
-	case stalled:
-		g.probeStalledMembers(gr)
+	case slow != "":
+		g.endGroup(gr, false, fmt.Sprintf("%s is slow", slow))
+	case g.isStalled(gr, suspicion) && g.now.Sub(gr.stalledSince) >= maxHeadSilence:
 		g.endGroup(gr, true, fmt.Sprintf("%d requests are stalled, and the head has sent no response for %s", suspicion.StalledRequests, suspicion.SinceLastResponse))
 	default:
 		gr.headSilentSince = time.Time{}
 	}
 }
 
+// isStalled reports whether requests at a head make no progress, and records since
+// when. A head that was idle may have sent no response for long when a request comes,
+// so the time since its last response does not tell that.
+func (g *Grouper) isStalled(gr *group, suspicion Suspicion) bool {
+	silent := suspicion.SinceLastResponse >= g.stallThreshold(gr)
+	switch {
+	case !silent:
+		gr.stalledSince = time.Time{}
+	case suspicion.StalledRequests > 0 && gr.stalledSince.IsZero():
+		gr.stalledSince = g.now
+	}
+	return silent && suspicion.StalledRequests > 0
+}
+
+// unresponsiveMember returns the rank of the first member that did not respond to a
+// probe since the group is stalled, and a text for the log, or -1. A probe of a silent
+// member shows nothing new: the member may only be out of reach of this process.
+func (g *Grouper) unresponsiveMember(gr *group, suspicion Suspicion) (int, string) {
+	for i, id := range gr.info.Members {
+		s, r := g.view.Registry.Get(id), g.records[id]
+		if s != nil && r != nil && !s.Silent && g.failedProbe(s) && !r.probeFailedAt.Before(gr.stalledSince) {
+			return i, fmt.Sprintf("%d requests are stalled, and %s does not respond to a probe", suspicion.StalledRequests, id)
+		}
+	}
+	return -1, ""
+}
+
+// slowMember returns a member that a recent probe found slow, or an empty string.
+func (g *Grouper) slowMember(gr *group) identifier.Server {
+	for _, id := range gr.info.Members {
+		s, r := g.view.Registry.Get(id), g.records[id]
+		if s != nil && r != nil && g.now.Sub(r.probedAt) < slowProbeInterval && g.isSlow(s) {
+			return id
+		}
+	}
+	return ""
+}
+
 // stallThreshold returns how long a head must have sent no response to any front
-// process before its group counts as stalled. A head that reads many long prompts
-// between two events must not count as stalled: its requests would go to the other
-// groups and make their passes longer too.
+// process before its members are probed. A head that reads many long prompts between
+// two events sends nothing meanwhile.
 func (g *Grouper) stallThreshold(gr *group) time.Duration {
 	pass := time.Duration(0)
 	if e := g.engine(gr.service); e != nil {
--- a/internal/grouper/slow.go
+++ b/internal/grouper/slow.go
@@ -11,9 +11,10 @@
 // Slow servers. A group runs at the pace of its slowest member, so one server whose
 // steps take many times longer than declared makes a whole group stall. Such a server
 // responds to everything. If its group were formed again from the same members, it
-// would stall and cut off its requests again and again. Therefore the members of a
-// group that stalled state their pace in the reply to a probe before they are used
-// again, and slow ones are kept out of new groups until a later probe finds them fast.
+// would stall again and again. Therefore the members of a group whose requests stall
+// state their pace in the reply to a probe. A group with a slow one is closed after its
+// requests have ended, for it is at work, and slow servers are kept out of new groups
+// until a later probe finds them fast.
 
 const (
 	// minSlowdown is the slowdown, in multiples of the typical one of the service, from
@@ -24,27 +25,28 @@
 	slowProbeInterval = time.Second
 )
 
-// probeStalledMembers probes every member of a stalled group, so that a dead or slow
-// one is not taken into the next group.
+// probeStalledMembers probes every member of a group whose requests are stalled, to
+// find a dead or slow one. It is not taken into another group before it has responded.
 func (g *Grouper) probeStalledMembers(gr *group) {
 	for _, id := range gr.info.Members {
-		if s, r := g.view.Registry.Get(id), g.records[id]; s != nil && r != nil {
+		if s, r := g.view.Registry.Get(id), g.records[id]; s != nil && r != nil && g.probe(s, r, "requests at its group are stalled") {
 			r.probeDue = true
-			g.probe(s, r, "its group is stalled")
 		}
 	}
 }
 
 // probe sends a probe unless one is pending or the last one was recent. A probe
-// changes nothing at the server, so it may overlap with an order.
-func (g *Grouper) probe(s *tracker.Server, r *serverRecord, reason string) {
+// changes nothing at the server, so it may overlap with an order. It reports whether it
+// sent one.
+func (g *Grouper) probe(s *tracker.Server, r *serverRecord, reason string) bool {
 	if r.probePending || g.now.Sub(r.probedAt) < slowProbeInterval {
-		return
+		return false
 	}
 	r.probePending, r.probedAt = true, g.now
 	g.orders = append(g.orders, Order{
 		Action: ActionProbe, Server: s.ID, Address: s.Address, FencingToken: g.fencingToken, Reason: reason,
 	})
+	return true
 }
 
 // probeIdleServers probes the servers in no group whose pace is not known since their
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -216,16 +216,15 @@
 	// or stage order failed.
 	failureBackoff = 4 * time.Second
 	// minStallTime is the least time without progress of any request at a head
-	// before its group counts as stalled: several passes of the engine. The bound is
+	// before its group may be stalled: several passes of the engine. The bound is
 	// higher where the longest pass, the lag of the reports and networkSlack for the
 	// network together take longer.
 	minStallTime = 450 * time.Millisecond
 	networkSlack = 40 * time.Millisecond
-	// minStalledRequests is the number of requests without progress from which on a
-	// group counts as stalled. With fewer it counts as stalled singleStallExtra
-	// later.
-	minStalledRequests = 2
-	singleStallExtra   = 350 * time.Millisecond
+	// maxHeadSilence is how long a head may send nothing for its requests before they
+	// are cut off although all members respond. The platform documentation states that
+	// a group at a standstill is broken after 6 s.
+	maxHeadSilence = 6 * time.Second
 	// minConnectFailures is the number of connections that could not be opened from
 	// which on a silent head counts as unreachable.
 	minConnectFailures = 2
