grouper: let the planned end of a group wait for the time limits of its requests

Callers lost answers of groups that were closed because a member drained or their zone was evacuated, if the answers took longer than 8 s from then.

Cause: the close order with closeMode wait was followed by one with cut after 8 s, whatever the time limits of the routes.

The end now waits for the longest time limit of all routes of the service (8 s at least, for routes that a change of the catalog has just removed). A member that drains stays for 10 s at most, so the members are probed if the requests make no progress meanwhile, as in a group that serves: before, a group that lost a member while it was being closed waited for the rest of the 8 s.

TestPlannedEndWaitsForLongRequests: a 15 s answer with a limit of 20 s was cut after 8 s, now it ends by itself; 20 s after the close order the rest is cut off. TestPlannedEndOfStalledGroup: a group that loses a member while it is being closed ends within 1 s, before after 7 s.

--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -293,19 +293,23 @@
 	return OutcomeUnfit
 }
 
+// serves reports whether a head has running requests, with demand.
+func serves(m tracker.Membership) bool {
+	return m.State == tracker.StateOpen || m.State == tracker.StateClosing
+}
+
 func (f *fleet) executeClose(e *engine, o Order) Outcome {
 	m := &e.membership
-	serves := m.State == tracker.StateOpen || m.State == tracker.StateClosing
-	if serves && o.CutRequests && len(f.demand) > 0 && f.isComplete(e) {
+	if serves(*m) && o.CutRequests && len(f.demand) > 0 && f.isComplete(e) {
 		f.cutsAtWork = append(f.cutsAtWork, fmt.Sprintf("%6.2f %s: %s", f.now.Sub(f.startedAt).Seconds(), o.Group, o.Reason))
 	}
-	if serves && !o.CutRequests && f.answerTime > 0 {
+	if serves(*m) && !o.CutRequests && f.answerTime > 0 {
 		if m.State == tracker.StateOpen {
 			m.State, e.closesAt, e.changed = tracker.StateClosing, f.now.Add(f.answerTime), true
 		}
 		return OutcomeAccepted
 	}
-	if serves || !e.opensAt.IsZero() {
+	if serves(*m) || !e.opensAt.IsZero() {
 		m.State, e.opensAt, e.changed = tracker.StateReady, time.Time{}, true
 	}
 	return OutcomeDone
@@ -460,13 +464,14 @@
 }
 
 // suspicions returns what the requests of the front processes show. Each head that
-// has announced that it is open gets requests all the time.
+// has announced that it is open gets requests all the time, and one that has announced
+// that it is closing still has some.
 func (f *fleet) suspicions() map[identifier.Server]Suspicion {
 	out := map[identifier.Server]Suspicion{}
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
 		announced := f.registry.Get(id)
-		if announced == nil || announced.Membership.State != tracker.StateOpen || announced.Membership.Rank != 0 {
+		if announced == nil || !serves(announced.Membership) || announced.Membership.Rank != 0 {
 			continue
 		}
 		since := f.now.Sub(f.lastResponse(e))
@@ -485,7 +490,7 @@
 // lastResponse returns when the front processes last received an event of a head, as
 // far as their reports show.
 func (f *fleet) lastResponse(e *engine) time.Time {
-	if e.alive && !e.cutFromFronts && e.membership.State == tracker.StateOpen && f.isComplete(e) && !f.now.Before(e.pausedUntil) {
+	if e.alive && !e.cutFromFronts && serves(e.membership) && f.isComplete(e) && !f.now.Before(e.pausedUntil) {
 		e.lastResponseAt = f.now
 		if pass := f.passTimeOf(e); pass > 0 {
 			// The end of the last pass that the reports can show.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -315,8 +315,7 @@
 		return
 	}
 	suspicion, found := g.view.Suspicions[head.ID]
-	responds := found && suspicion.SinceLastResponse < g.Policy.HeartbeatInterval
-	if serving && !complete && (g.now.Before(g.learningEnds) || responds) {
+	if serving && !complete && (g.now.Before(g.learningEnds) || g.responds(suspicion, found)) {
 		// The other members may not have announced themselves yet. While the head
 		// responds to requests, they must be running.
 		return
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 )
@@ -162,8 +164,6 @@
 	memberIs, memberText := g.worstCondition(gr)
 	head := g.view.Registry.Get(gr.info.Members[0])
 	suspicion, found := g.view.Suspicions[gr.info.Members[0]]
-	// Reports of responses take some hundred milliseconds to arrive.
-	responds := found && suspicion.SinceLastResponse < g.Policy.HeartbeatInterval
 	slow := g.slowMember(gr)
 	unresponsive, unresponsiveText := -1, ""
 	if g.isStalled(gr, suspicion) {
@@ -187,7 +187,7 @@
 		g.abandonGroup(gr, unresponsiveText)
 	case unresponsive > 0:
 		g.endGroup(gr, true, unresponsiveText)
-	case memberIs == conditionSilent && !responds:
+	case memberIs == conditionSilent && !g.responds(suspicion, found):
 		// A member that is silent only to the core processes does not stop the head
 		// from serving.
 		g.endGroup(gr, true, memberText)
@@ -204,6 +204,12 @@
 	}
 }
 
+// responds reports whether front processes received a response from a head a moment
+// ago. Reports of responses take some hundred milliseconds to arrive.
+func (g *Grouper) responds(suspicion Suspicion, found bool) bool {
+	return found && suspicion.SinceLastResponse < g.Policy.HeartbeatInterval
+}
+
 // isStalled reports whether requests at a head make no progress, and records since
 // when. A head that was idle may have sent no response for long when a request comes,
 // so the time since its last response does not tell that.
@@ -263,7 +269,7 @@
 	}
 	head, r := g.view.Registry.Get(gr.info.Members[0]), g.records[gr.info.Members[0]]
 	switch {
-	case found && suspicion.SinceLastResponse < g.Policy.HeartbeatInterval:
+	case g.responds(suspicion, found):
 		gr.headSilentSince = g.now
 	case head != nil && r != nil && r.absentAt.After(head.LastHeartbeatAt):
 		g.abandonGroup(gr, "no process listens at the head's address")
@@ -376,20 +382,49 @@
 	})
 }
 
-// escalateEnding makes the planned end of a group cut off the remaining requests
-// once a member is silent or lost, or drainTimeout has passed.
+// escalateEnding makes the planned end of a group cut off the remaining requests once
+// the group is at a standstill, or the time limit of every request has passed.
 func (g *Grouper) escalateEnding(gr *group) {
-	memberIs, text := g.worstCondition(gr)
-	if gr.cutRequests || memberIs < conditionSilent && g.now.Sub(gr.phaseSince) < drainTimeout {
+	if gr.cutRequests {
 		return
 	}
-	if memberIs < conditionSilent {
+	suspicion := g.view.Suspicions[gr.info.Members[0]]
+	memberIs, text := g.worstCondition(gr)
+	rank, unresponsiveText := -1, ""
+	if g.isStalled(gr, suspicion) {
+		g.probeStalledMembers(gr)
+		rank, unresponsiveText = g.unresponsiveMember(gr, suspicion)
+	}
+	switch {
+	case memberIs >= conditionSilent:
+	case rank >= 0:
+		text = unresponsiveText
+	case g.isStalled(gr, suspicion) && g.now.Sub(gr.stalledSince) >= maxHeadSilence:
+		text = "the head has sent no response for too long"
+	case g.now.Sub(gr.phaseSince) >= g.drainTimeout(gr.service):
 		text = "requests did not end in time"
+	default:
+		return
 	}
 	gr.cutRequests, gr.info.Reason = true, text
 	g.recordDecision("running requests of the group are cut off", gr)
 }
 
+// drainTimeout returns how long the planned end of a group waits for running requests:
+// until the time limit of each has passed, whatever its route.
+func (g *Grouper) drainTimeout(service identifier.Service) time.Duration {
+	longest := minDrainTimeout
+	if g.view.Catalog == nil {
+		return longest
+	}
+	for _, r := range g.view.Catalog.Routes {
+		if slices.ContainsFunc(r.Targets, func(t cataloger.Target) bool { return t.Service == service }) {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // noOrderPending reports whether the outcome of every order to a server is known.
 func (g *Grouper) noOrderPending(id identifier.Server) bool {
 	r := g.records[id]
--- /dev/null
+++ b/internal/grouper/planned_end_test.go
@@ -0,0 +1,53 @@
+package grouper
+
+import (
+	"testing"
+	"time"
+
+	"trefoilhead.org/trefoilhead/internal/cataloger"
+)
+
+// TestPlannedEndWaitsForLongRequests guards against cutting off the requests of an evacuated
+// group 8 s after its close order, although their route allows them more.
+func TestPlannedEndWaitsForLongRequests(t *testing.T) {
+	f := newServingFleet(t, 4)
+	f.catalog.Routes = []cataloger.Route{
+		{Name: "short", Timeout: 3 * time.Second, Targets: []cataloger.Target{{Service: "llm", Weight: 1}}},
+		{Name: "long", Timeout: 20 * time.Second, Targets: []cataloger.Target{{Service: "llm", Weight: 1}}},
+		{Name: "other", Timeout: time.Minute, Targets: []cataloger.Target{{Service: "plain", Weight: 1}}},
+	}
+	f.answerTime = 15 * time.Second
+	f.evacuated["z1"] = true
+	f.run(16 * time.Second)
+	f.failOnCuts(t)
+	if len(f.grouper.Groups()) > 0 {
+		t.Error("the group has not ended")
+	}
+	delete(f.evacuated, "z1")
+	f.run(5 * time.Second)
+	f.answerTime = time.Minute
+	f.evacuated["z1"] = true
+	f.run(19 * time.Second)
+	f.failOnCuts(t)
+	f.run(2 * time.Second)
+	if len(f.cutsAtWork) != 1 || len(f.grouper.Groups()) > 0 {
+		t.Errorf("%d groups were cut, %d are left after the time limit of every request", len(f.cutsAtWork), len(f.grouper.Groups()))
+	}
+}
+
+// TestPlannedEndOfStalledGroup checks that a group which loses a member while it is being closed
+// does not wait for requests that make no progress.
+func TestPlannedEndOfStalledGroup(t *testing.T) {
+	f := newServingFleet(t, 5)
+	members := f.openHeads()[0].members
+	f.answerTime = 7 * time.Second
+	f.disturb(t, "drain", f.engines[members[1]])
+	f.run(time.Second)
+	f.disturb(t, "kill", f.engines[members[2]])
+	f.disturb(t, "depart", f.engines[members[2]])
+	f.run(time.Second)
+	if len(f.grouper.Groups()) > 0 {
+		t.Errorf("the group has not ended: %v", f.grouper.Groups())
+	}
+	f.failOnCuts(t)
+}
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -206,9 +206,9 @@
 	// maxOrderDelay is how long after it was sent an order whose outcome was
 	// OutcomeUnanswered may still be executed. The platform documentation states 12 s.
 	maxOrderDelay = 13 * time.Second
-	// drainTimeout is how long the planned end of a group waits for running
-	// requests. The platform documentation allows 10 s for a member that drains.
-	drainTimeout = 8 * time.Second
+	// minDrainTimeout is how long the planned end of a group waits for running requests
+	// at least. Requests of a route that the catalog no longer has may still run.
+	minDrainTimeout = 8 * time.Second
 	// formationSlack is added to the expected time of a load or of forming a group
 	// before it counts as failed.
 	formationSlack = 5 * time.Second
