grouper: end no planned wait because a member is silent only to the core processes

Callers lost the answers of a group that was being closed with wait, if a member was cut off from the core processes meanwhile and the group went on working.

Cause: a silent member turned the planned end into a cut at once. A group that serves is left alone in that case while front processes receive responses from its head.

The planned end now has the same condition.

TestPlannedEndWaitsWhileMemberIsSilent: cut 2.6 s after the close order before, with 6 s of work left; now not cut.

--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -388,7 +388,7 @@
 	if gr.cutRequests {
 		return
 	}
-	suspicion := g.view.Suspicions[gr.info.Members[0]]
+	suspicion, found := g.view.Suspicions[gr.info.Members[0]]
 	memberIs, text := g.worstCondition(gr)
 	rank, unresponsiveText := -1, ""
 	if g.isStalled(gr, suspicion) {
@@ -396,7 +396,8 @@
 		rank, unresponsiveText = g.unresponsiveMember(gr, suspicion)
 	}
 	switch {
-	case memberIs >= conditionSilent:
+	case memberIs == conditionLost:
+	case memberIs == conditionSilent && !g.responds(suspicion, found):
 	case rank >= 0:
 		text = unresponsiveText
 	case g.isStalled(gr, suspicion) && g.now.Sub(gr.stalledSince) >= maxHeadSilence:
--- a/internal/grouper/planned_end_test.go
+++ b/internal/grouper/planned_end_test.go
@@ -35,6 +35,19 @@
 	}
 }
 
+// TestPlannedEndWaitsWhileMemberIsSilent guards against cutting off the requests of a group that
+// is closed because a member drains, when another member is out of reach of the core processes
+// but at work.
+func TestPlannedEndWaitsWhileMemberIsSilent(t *testing.T) {
+	f := newServingFleet(t, 5)
+	members := f.engines[f.openHeads()[0].members[0]].members
+	f.answerTime = 6 * time.Second
+	f.disturb(t, "drain", f.engines[members[1]])
+	f.disturb(t, "cut", f.engines[members[2]])
+	f.run(7 * time.Second)
+	f.failOnCuts(t)
+}
+
 // TestPlannedEndOfStalledGroup checks that a group which loses a member while it is being closed
 // does not wait for requests that make no progress.
 func TestPlannedEndOfStalledGroup(t *testing.T) {
