grouper: let a group that has just opened finish its requests when it is given up

Callers lost the first answers of a group whose zone was evacuated, or a member of which drained, at the moment at which its head opened; the same for a group that a new holder of the placement authority adopts before it knows that its head has opened.

Cause: a group that is given up while it is being formed was closed with cut, because nothing can run there yet. Its head may already be open.

It is now closed with wait, which is as quick if nothing runs; a lost member still turns that into a cut at once.

TestGroupThatHasJustOpenedIsNotCutOff: cut before, not after.

--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -216,8 +216,8 @@
 
 // TestRulesHold applies random disturbances to a fleet. Whatever happens, no server
 // joins a second group while the head of its first serves, no group opens before
-// every member is ready, and loads stay within their rate. Once the disturbances
-// end, groups serve.
+// every member is ready, no request of a group at work is cut off, and loads stay within
+// their rate. Once the disturbances end, groups serve.
 func TestRulesHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, testModels, map[identifier.FabricDomain]int{"f1": 9, "f2": 9})
@@ -242,13 +242,14 @@
 }
 
 func (f *fleet) failOnViolations(t *rapid.T) {
-	if len(f.violations) == 0 {
+	broken := slices.Concat(f.violations, f.cutsAtWork)
+	if len(broken) == 0 {
 		return
 	}
 	if *printOrders {
 		t.Log("\n" + strings.Join(f.log, "\n"))
 	}
-	t.Fatalf("rules broken: %s", strings.Join(f.violations, "; "))
+	t.Fatalf("rules broken: %s", strings.Join(broken, "; "))
 }
 
 func (f *fleet) drawDisturbance(t *rapid.T) {
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -150,7 +150,7 @@
 		// The head may open at any moment and announce it later, so its present
 		// state does not show that it does not serve.
 		gr.openOrderExpires = g.now.Add(maxOrderDelay)
-		g.endGroup(gr, true, reason)
+		g.endGroup(gr, false, reason)
 		return
 	}
 	g.removeGroup(gr, reason)
--- a/internal/grouper/planned_end_test.go
+++ b/internal/grouper/planned_end_test.go
@@ -1,10 +1,12 @@
 package grouper
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
+	"trefoilhead.org/trefoilhead/internal/identifier"
 )
 
 // TestPlannedEndWaitsForLongRequests guards against cutting off the requests of an evacuated
@@ -64,3 +66,17 @@
 	}
 	f.failOnCuts(t)
 }
+
+// TestGroupThatHasJustOpenedIsNotCutOff guards against cutting off the first requests of a group
+// whose zone is evacuated at the moment at which its head opens.
+func TestGroupThatHasJustOpenedIsNotCutOff(t *testing.T) {
+	f := newFleet(t, testModels[:1], map[identifier.FabricDomain]int{"f1": 4})
+	f.demand, f.answerTime = map[string]float64{testModels[0].Name: 2}, time.Second
+	opens := func(e *engine) bool { return !e.opensAt.IsZero() && !f.now.Add(tick).Before(e.opensAt) }
+	for !slices.ContainsFunc(f.findEngines("all@f1"), opens) {
+		f.run(tick)
+	}
+	f.evacuated["z1"] = true
+	f.run(3 * time.Second)
+	f.failOnCuts(t)
+}
