grouper: take no member for silent because this process stood still

Callers lost the answers of groups at work after the core processes had stood still together for some seconds, or while the leader got no reports of fronts.

Cause: the leader then holds the placement authority again in the same term, but its registry has had no heartbeat for longer than the silence timeout, and reports of fronts come only once they are linked again. The first head that announced itself had silent members and no report that it responds, so its group was closed with cut.

A group with a silent member, or an adopted one that is not complete, is closed with wait as long as no front reports on its head: it has no requests, or it is not known what became of them. With reports, and for lost members, nothing changes.

--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -21,6 +21,7 @@
 	warmJoinTime      = 200 * time.Millisecond
 	openTime          = 300 * time.Millisecond
 	orderTimeout      = 300 * time.Millisecond
+	frontReportDelay  = time.Second
 	stallTimeout      = 6 * time.Second
 	testFabric        = "f1"
 	// usualPassTime is the time between two events of a group under load.
@@ -113,6 +114,9 @@
 	// answerTime is how long after a close order with closeMode wait the last running
 	// request ends.
 	answerTime time.Duration
+	// frozenUntil is until when the core processes stand still: they take no heartbeat, and
+	// fronts report to them only frontReportDelay after it.
+	frozenUntil time.Time
 	// cutsAtWork describes the close orders that cut off the requests of a head at work:
 	// no member of its group was lost.
 	cutsAtWork []string
@@ -185,6 +189,9 @@
 		f.advanceEngine(f.engines[id])
 	}
 	f.sendHeartbeats()
+	if f.now.Before(f.frozenUntil) {
+		return
+	}
 	f.registry.ExpireServers(f.now)
 	outcomes := f.pendingOutcomes
 	f.pendingOutcomes = nil
@@ -453,6 +460,9 @@
 			ID: e.id, Service: "llm", Address: string(e.id), Domain: e.domain, Fabric: e.fabric, Incarnation: e.incarnation,
 			Sequence: e.sequence, Draining: e.draining, Membership: e.membership, LastHeartbeatAt: f.now,
 		}
+		if f.now.Before(f.frozenUntil) {
+			continue
+		}
 		if e.staged != "" {
 			s.StagedModels = []string{e.staged}
 		}
@@ -468,6 +478,9 @@
 // that it is closing still has some.
 func (f *fleet) suspicions() map[identifier.Server]Suspicion {
 	out := map[identifier.Server]Suspicion{}
+	if f.now.Before(f.frozenUntil.Add(frontReportDelay)) {
+		return out
+	}
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
 		announced := f.registry.Get(id)
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -75,6 +75,8 @@
 	// stalledSince is when requests at the head were first found to make no progress
 	// since its last response, or zero.
 	stalledSince time.Time
+	// silenceCountsAt is when silent members count again as evidence against the group.
+	silenceCountsAt time.Time
 	// headClosed is set once the head has confirmed that it does not serve, headLeft
 	// once it has confirmed that it has left the group.
 	headClosed bool
@@ -170,11 +172,17 @@
 // Step plans groups and compares them with the announced state. It returns the
 // orders to send now, and the decisions for the log.
 func (g *Grouper) Step(now time.Time, v View) ([]Order, []Decision) {
+	suspended := now.Sub(g.now) > maxStepInterval
 	g.now, g.view = now, v
 	g.typicalSlowdowns = map[identifier.Service]float64{}
 	if len(v.Demand) > 0 {
 		g.firstStart = false
 	}
+	if suspended {
+		for _, gr := range g.groups {
+			gr.silenceCountsAt = now.Add(g.Policy.LearningPeriod)
+		}
+	}
 	g.syncRecords()
 	g.adoptAnnouncedGroups()
 	for _, gr := range g.sortedGroups() {
@@ -338,7 +346,8 @@
 		gr.info.Phase = PhaseServing
 		gr.openOrderExpires = g.now.Add(maxOrderDelay)
 		if !complete {
-			g.endGroup(gr, true, fmt.Sprintf("only %d members have announced themselves", len(members)))
+			// Without a report on the head, it is not known to be at a standstill.
+			g.endGroup(gr, found, fmt.Sprintf("only %d members have announced themselves", len(members)))
 		}
 	case !complete:
 		g.removeGroup(gr, "the group of an earlier holder is incomplete")
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -187,10 +187,11 @@
 		g.abandonGroup(gr, unresponsiveText)
 	case unresponsive > 0:
 		g.endGroup(gr, true, unresponsiveText)
-	case memberIs == conditionSilent && !g.responds(suspicion, found):
+	case memberIs == conditionSilent && g.silenceCounts(gr) && !g.responds(suspicion, found):
 		// A member that is silent only to the core processes does not stop the head
-		// from serving.
-		g.endGroup(gr, true, memberText)
+		// from serving. If no front process has reported on the head, it has no
+		// requests, or the reports do not arrive.
+		g.endGroup(gr, found, memberText)
 	case headIs == conditionLeaving:
 		g.endGroup(gr, false, headText)
 	case memberIs == conditionLeaving:
@@ -210,6 +211,10 @@
 	return found && suspicion.SinceLastResponse < g.Policy.HeartbeatInterval
 }
 
+// silenceCounts reports whether a silent member of a group has had the time to announce
+// itself since this process or the group was out of touch.
+func (g *Grouper) silenceCounts(gr *group) bool { return !g.now.Before(gr.silenceCountsAt) }
+
 // isStalled reports whether requests at a head make no progress, and records since
 // when. A head that was idle may have sent no response for long when a request comes,
 // so the time since its last response does not tell that.
@@ -397,7 +402,7 @@
 	}
 	switch {
 	case memberIs == conditionLost:
-	case memberIs == conditionSilent && !g.responds(suspicion, found):
+	case memberIs == conditionSilent && g.silenceCounts(gr) && found && !g.responds(suspicion, found):
 	case rank >= 0:
 		text = unresponsiveText
 	case g.isStalled(gr, suspicion) && g.now.Sub(gr.stalledSince) >= maxHeadSilence:
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -209,6 +209,9 @@
 	// minDrainTimeout is how long the planned end of a group waits for running requests
 	// at least. Requests of a route that the catalog no longer has may still run.
 	minDrainTimeout = 8 * time.Second
+	// maxStepInterval is the time between two steps above which this process is taken to
+	// have stood still, and to have missed heartbeats and reports.
+	maxStepInterval = 500 * time.Millisecond
 	// formationSlack is added to the expected time of a load or of forming a group
 	// before it counts as failed.
 	formationSlack = 5 * time.Second
