grouper: keep a group whose servers announce themselves one by one after a partition

Callers on the far side of a network partition lost the answers of a group that had gone on working there, when the partition ended.

Cause: a group that was abandoned serves again only if all its members have announced themselves when its head does. Otherwise it was closed with cut; and members that were first were ordered to leave at once. Heartbeats are up to 1.2 s apart, so this was the usual order.

The group now serves again as soon as its head announces that it is open and no member has left. Silent members count against it only after the learning period (3 s), and a member that was silent itself is ordered to leave that long after its return. Members of a dead head that were never silent leave at once, as before.

TestPartitionHealsServerByServer, three orders of return: cut or broken up in each before, none after.

--- a/internal/grouper/blind_test.go
+++ b/internal/grouper/blind_test.go
@@ -23,3 +23,29 @@
 		t.Errorf("groups were changed:\n%s", strings.Join(f.log, "\n"))
 	}
 }
+
+// TestPartitionHealsServerByServer guards against ending a group that goes on working behind a
+// network partition, when its servers announce themselves again one after the other.
+func TestPartitionHealsServerByServer(t *testing.T) {
+	for _, first := range []int{0, 1, 3} {
+		f := newServingFleet(t, 5)
+		members := f.openHeads()[0].members
+		for _, id := range members {
+			f.disturb(t, "cut_far", f.engines[id])
+		}
+		f.run(10 * time.Second)
+		f.log = nil
+		for i := range members {
+			f.engines[members[(first+i)%len(members)]].cutFromFronts = false
+		}
+		for i := range members {
+			f.disturb(t, "heal", f.engines[members[(first+i)%len(members)]])
+			f.run(350 * time.Millisecond)
+		}
+		f.run(10 * time.Second)
+		f.failOnCuts(t)
+		if !f.isComplete(f.engines[members[0]]) {
+			t.Errorf("the group has lost members when member %d was heard first:\n%s", first, strings.Join(f.log, "\n"))
+		}
+	}
+}
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -86,6 +86,8 @@
 	unansweredCloses int
 	// leftMembers holds the members of an abandoned group that have left it.
 	leftMembers map[identifier.Server]bool
+	// memberSilentAt holds when members of an abandoned group were last silent.
+	memberSilentAt map[identifier.Server]time.Time
 	// adopted is set if an earlier holder of the placement authority formed the group.
 	adopted bool
 }
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -289,13 +289,15 @@
 	gr.info.Phase, gr.info.Reason, gr.phaseSince = PhaseAbandoned, reason, g.now
 	gr.headSilentSince = time.Time{}
 	gr.leftMembers = map[identifier.Server]bool{}
+	gr.memberSilentAt = map[identifier.Server]time.Time{}
 	g.recordDecision("group is abandoned", gr)
 	g.stepAbandoned(gr)
 }
 
 // stepAbandoned orders the members that are not silent to leave, until the head
 // announces itself again or is known to be lost. A member that has left is free for
-// other groups.
+// other groups. Members that were silent too stay for the learning period: after a
+// network partition they announce themselves before or after their head.
 func (g *Grouper) stepAbandoned(gr *group) {
 	headIs, headText := g.memberCondition(gr, 0)
 	if headIs == conditionLost {
@@ -308,8 +310,9 @@
 		switch {
 		case head.Membership.Epoch != gr.info.Epoch:
 			g.removeGroup(gr, "the head has left")
-		case worst <= conditionLeaving && len(gr.leftMembers) == 0 && head.Membership.State == tracker.StateOpen:
+		case worst <= conditionSilent && len(gr.leftMembers) == 0 && head.Membership.State == tracker.StateOpen:
 			gr.info.Phase, gr.info.Reason = PhaseServing, ""
+			gr.stalledSince, gr.silenceCountsAt = time.Time{}, g.now.Add(g.Policy.LearningPeriod)
 			g.recordDecision("abandoned group serves again", gr)
 		default:
 			g.endGroup(gr, true, "the head announces itself again, but the group is not intact: "+text)
@@ -318,9 +321,16 @@
 	}
 	for i, id := range gr.info.Members {
 		s := g.view.Registry.Get(id)
+		if s != nil && s.Silent {
+			gr.memberSilentAt[id] = g.now
+		}
 		if i == 0 || gr.leftMembers[id] || s == nil || s.Silent || s.Gone {
 			continue
 		}
+		if since, silent := gr.memberSilentAt[id]; silent && g.now.Sub(since) < g.Policy.LearningPeriod {
+			// The head may be about to announce itself again too.
+			continue
+		}
 		if s.Membership.Epoch != gr.info.Epoch {
 			gr.leftMembers[id] = true
 			continue
