placer: give the members of a group that were all lost time to return

Callers lost the answers of a group of serve whose members had all been out of reach for more than 2 s, when the first of them announced itself again: the group was released, and its members ordered to leave, although the others were about to announce themselves too.

Cause: a group that has lost all members waits 10 minutes, one that has lost some 2 s; both were counted from the first loss. With the first return, the 2 s had long passed.

The grace period of a partial loss now begins with the first return after a total loss.

TestGroupWhoseMembersReturnOneByOneServesAgain, members 0.8 s apart: released before, kept after; a member that does not return is still noticed after the grace period.

--- a/internal/placer/groups.go
+++ b/internal/placer/groups.go
@@ -48,13 +48,16 @@
 // suspendGroup suspends a group that has lost members, and releases it when they
 // have not returned within the grace period.
 func (p *Placer) suspendGroup(now time.Time, g *group, lost int) {
-	if g.membersLostSince.IsZero() {
+	allLost := lost == len(g.members)
+	if g.membersLostSince.IsZero() || g.allMembersLost && !allLost {
+		// Members that were all out of reach announce themselves one after the other.
 		g.membersLostSince = now
 	}
+	g.allMembersLost = allLost
 	g.info.State = GroupSuspended
 	g.info.Reason = fmt.Sprintf("%d of %d members are silent", lost, len(g.members))
 	grace := p.Policy.PartialLossGrace
-	if lost == len(g.members) {
+	if allLost {
 		grace = p.Policy.TotalLossGrace
 	}
 	if now.Sub(g.membersLostSince) >= grace {
@@ -65,7 +68,7 @@
 // stepComplete updates a group that has no lost members.
 func (p *Placer) stepComplete(now time.Time, g *group) {
 	if !g.membersLostSince.IsZero() {
-		g.membersLostSince = time.Time{}
+		g.membersLostSince, g.allMembersLost = time.Time{}, false
 		g.info.State = GroupForming
 		g.info.Incarnation++
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -58,9 +58,10 @@
 	spec             ServiceSpec
 	members          []member
 	loadTimeoutStart time.Time
-	// membersLostSince is when the first lost member was noticed. It is zero
-	// while no member is lost.
+	// membersLostSince is when the first lost member was noticed, or when the first
+	// member returned after all were lost. It is zero while no member is lost.
 	membersLostSince time.Time
+	allMembersLost   bool
 	// adopted means that the group may have had an owner under the previous
 	// authority.
 	adopted bool
