grouper: take no probe for failed because this process stood still

Callers could lose the answers of a head that had paused for a moment, if the core process that had just probed the group stood still until the probes had timed out: the outcome came together with the reports of fronts from before, which count for 1.5 s.

Cause: a failed probe counted whenever it had failed since the requests were stalled, also one sent before a suspension; and a later response to a probe did not end its effect.

After more than 500 ms without a step only probes sent from then on count, and a response to a probe ends the effect of an earlier failure.

TestProbesOfCoreProcessesThatStoodStill, 0.8 s: the group was abandoned before, now it serves on.

--- a/internal/grouper/blind_test.go
+++ b/internal/grouper/blind_test.go
@@ -49,3 +49,19 @@
 		}
 	}
 }
+
+// TestProbesOfCoreProcessesThatStoodStill guards against taking members for lost because the
+// core processes stood still while the responses to their probes came.
+func TestProbesOfCoreProcessesThatStoodStill(t *testing.T) {
+	f := newServingFleet(t, 5)
+	f.answerTime = 2 * time.Second
+	f.openHeads()[0].pausedUntil = f.now.Add(900 * time.Millisecond)
+	f.unansweredOrders, f.lateOrderDelay = testModels[0].GroupSize, time.Second
+	f.run(500 * time.Millisecond)
+	f.frozenUntil = f.now.Add(800 * time.Millisecond)
+	f.run(10 * time.Second)
+	f.failOnCuts(t)
+	if len(f.log) > 0 || f.unansweredOrders > 0 {
+		t.Errorf("%d members were not probed; groups were changed:\n%s", f.unansweredOrders, strings.Join(f.log, "\n"))
+	}
+}
--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -22,6 +22,7 @@
 	openTime          = 300 * time.Millisecond
 	orderTimeout      = 300 * time.Millisecond
 	frontReportDelay  = time.Second
+	frontReportTTL    = 1500 * time.Millisecond
 	stallTimeout      = 6 * time.Second
 	testFabric        = "f1"
 	// usualPassTime is the time between two events of a group under load.
@@ -117,6 +118,9 @@
 	// frozenUntil is until when the core processes stand still: they take no heartbeat, and
 	// fronts report to them only frontReportDelay after it.
 	frozenUntil time.Time
+	// lastReports is what the front processes reported last, at lastReportAt.
+	lastReports  map[identifier.Server]Suspicion
+	lastReportAt time.Time
 	// cutsAtWork describes the close orders that cut off the requests of a head at work:
 	// no member of its group was lost.
 	cutsAtWork []string
@@ -479,8 +483,15 @@
 func (f *fleet) suspicions() map[identifier.Server]Suspicion {
 	out := map[identifier.Server]Suspicion{}
 	if f.now.Before(f.frozenUntil.Add(frontReportDelay)) {
+		if age := f.now.Sub(f.lastReportAt); age <= frontReportTTL {
+			for id, s := range f.lastReports {
+				s.SinceLastResponse += age
+				out[id] = s
+			}
+		}
 		return out
 	}
+	f.lastReports, f.lastReportAt = out, f.now
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
 		announced := f.registry.Get(id)
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -183,6 +183,7 @@
 	if suspended {
 		for _, gr := range g.groups {
 			gr.silenceCountsAt = now.Add(g.Policy.LearningPeriod)
+			gr.stalledSince = time.Time{}
 		}
 	}
 	g.syncRecords()
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -230,12 +230,12 @@
 }
 
 // unresponsiveMember returns the rank of the first member that did not respond to a
-// probe since the group is stalled, and a text for the log, or -1. A probe of a silent
+// probe sent since the group is stalled, and a text for the log, or -1. A probe of a silent
 // member shows nothing new: the member may only be out of reach of this process.
 func (g *Grouper) unresponsiveMember(gr *group, suspicion Suspicion) (int, string) {
 	for i, id := range gr.info.Members {
 		s, r := g.view.Registry.Get(id), g.records[id]
-		if s != nil && r != nil && !s.Silent && g.failedProbe(s) && !r.probeFailedAt.Before(gr.stalledSince) {
+		if s != nil && r != nil && !s.Silent && !r.probePending && !r.probedAt.Before(gr.stalledSince) && g.failedProbe(s) {
 			return i, fmt.Sprintf("%d requests are stalled, and %s does not respond to a probe", suspicion.StalledRequests, id)
 		}
 	}
--- a/internal/grouper/slow.go
+++ b/internal/grouper/slow.go
@@ -66,7 +66,7 @@
 
 // recordProbe records the reply to a probe.
 func (r *serverRecord) recordProbe(now time.Time, reply Reply) {
-	r.probePending, r.probeDue = false, false
+	r.probePending, r.probeDue, r.probeFailedAt = false, false, time.Time{}
 	switch reply.Outcome {
 	case OutcomeUnanswered, OutcomeAbsent:
 		r.probeFailedAt = now
