grouper: test pauses, suspensions and long answers among random disturbances

TestRulesHold now also lets heads pause for 0.3 to 1.2 s, lets core processes stand still for 0.2 to 5 s, and lets the answers of a group that is being closed take up to 10 s.

--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -224,6 +224,7 @@
 		f.run(2 * time.Second)
 		f.demand = map[string]float64{"big": 1, "small": 1}
 		f.firstRequestAt = f.now
+		f.answerTime = time.Duration(rapid.IntRange(0, 200).Draw(t, "answer")) * tick
 		for range rapid.IntRange(5, 25).Draw(t, "disturbances") {
 			f.drawDisturbance(t)
 			f.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * tick)
@@ -257,6 +258,7 @@
 	kind := rapid.SampledFrom([]string{
 		"kill", "kill", "reboot", "cut", "cut_far", "cut_reset", "heal", "drain", "depart", "add",
 		"zone_cut", "zone_reset", "zone_heal", "out", "back", "unanswered", "holder", "empty_holder",
+		"pause", "freeze",
 	}).Draw(t, "kind")
 	zone := f.findEngines("all@" + string(e.fabric))
 	switch kind {
@@ -270,6 +272,10 @@
 		f.evacuated[e.domain] = true
 	case "back":
 		delete(f.evacuated, e.domain)
+	case "pause":
+		e.pausedUntil = f.now.Add(time.Duration(rapid.IntRange(6, 24).Draw(t, "pause")) * tick)
+	case "freeze":
+		f.frozenUntil = f.now.Add(time.Duration(rapid.IntRange(4, 100).Draw(t, "freeze")) * tick)
 	case "unanswered":
 		f.unansweredOrders = rapid.IntRange(1, 4).Draw(t, "orders")
 		f.lateOrderDelay = time.Duration(rapid.IntRange(40, 240).Draw(t, "late")) * tick
