grouper, platform: end a stalled group once a member cannot be reached

Cause: a probe without a response took 300 ms to fail, whether nobody was there or a process only paused.

Change: orders and probes open a connection of their own, within 100 ms. No connection means that the VM or the process is gone, and ends the group with cut if its head is silent as well. A process that accepts the connection and does not respond is waited for, up to 6 s of silence.

--- a/cmd/trefoilhead/node.go
+++ b/cmd/trefoilhead/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -111,12 +110,7 @@
 	c := &coordinator.Coordinator{
 		Settings: cfg, Logger: l, Network: network, Metrics: registry, DecodeCatalog: platform.DecodeCatalog,
 		Elapsed: timekeeper.SinceBoot, Seed: uint64(time.Now().UnixNano()),
-		OrderSender: &platform.OrderSender{
-			Logger: l,
-			Client: &http.Client{Transport: &http.Transport{
-				DialContext: network.DialContext, DisableCompression: true, IdleConnTimeout: time.Second,
-			}},
-		},
+		OrderSender: &platform.OrderSender{Logger: l, Client: platform.NewOrderClient(network.DialContext)},
 	}
 	c.ControlHandler = platform.NewControlHandler(c, l)
 	c.Init()
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -46,7 +46,7 @@
 		metrics.NewRegisteredFunctionalGauge(name, c.Metrics, value)
 	}
 	c.orderCounters = map[grouper.Outcome]metrics.Counter{}
-	for o := grouper.OutcomeUnanswered; o <= grouper.OutcomeAbsent; o++ {
+	for o := grouper.OutcomeUnanswered; o <= grouper.OutcomeUnreachable; o++ {
 		c.orderCounters[o] = metrics.NewRegisteredCounter("orders_"+o.String(), c.Metrics)
 	}
 	c.orderDuration = metrics.NewRegisteredHistogram("order_ms", c.Metrics, metrics.NewExpDecaySample(sampleSize, sampleDecay))
--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -21,6 +21,7 @@
 	warmJoinTime      = 200 * time.Millisecond
 	openTime          = 300 * time.Millisecond
 	orderTimeout      = 300 * time.Millisecond
+	connectTimeout    = 100 * time.Millisecond
 	frontReportDelay  = time.Second
 	frontReportTTL    = 1500 * time.Millisecond
 	stallTimeout      = 6 * time.Second
@@ -215,8 +216,11 @@
 	}
 	for _, o := range orders {
 		sent := orderOutcome{order: o, outcome: f.deliverOrder(o)}
-		if sent.outcome == OutcomeUnanswered {
+		switch sent.outcome {
+		case OutcomeUnanswered:
 			sent.knownAt = f.now.Add(orderTimeout)
+		case OutcomeUnreachable:
+			sent.knownAt = f.now.Add(connectTimeout)
 		}
 		f.pendingOutcomes = append(f.pendingOutcomes, sent)
 		f.logOrder(o)
@@ -249,13 +253,13 @@
 	e := f.engines[o.Server]
 	switch {
 	case !e.alive && !e.gone:
-		return OutcomeUnanswered
+		return OutcomeUnreachable
 	case e.gone && !e.alive:
 		return OutcomeAbsent
 	case e.cutFromCore && e.resetsConnections:
 		return OutcomeAbsent
 	case e.cutFromCore:
-		return OutcomeUnanswered
+		return OutcomeUnreachable
 	case f.unansweredOrders > 0:
 		f.unansweredOrders--
 		e.lateOrders = append(e.lateOrders, lateOrder{f.now.Add(f.lateOrderDelay), o})
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -116,6 +116,8 @@
 	// when it was last probed. probeDue keeps the server out of new groups until it
 	// has been probed.
 	probeFailedAt time.Time
+	// isUnreachable is set if no connection for that probe could be opened.
+	isUnreachable bool
 	probedAt      time.Time
 	probeDue      bool
 	probePending  bool
@@ -225,8 +227,11 @@
 	}
 	r.pendingOrder = nil
 	r.nextOrderAt = now.Add(orderRetryDelay)
-	if outcome == OutcomeAbsent {
+	switch outcome {
+	case OutcomeAbsent:
 		r.absentAt = now
+	case OutcomeUnreachable:
+		outcome = OutcomeUnanswered
 	}
 	gr := g.groups[o.Group]
 	switch {
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -165,10 +165,10 @@
 	head := g.view.Registry.Get(gr.info.Members[0])
 	suspicion, found := g.view.Suspicions[gr.info.Members[0]]
 	slow := g.slowMember(gr)
-	unresponsive, unresponsiveText := -1, ""
+	unreachable, unreachableText := -1, ""
 	if g.isStalled(gr, suspicion) {
 		g.probeStalledMembers(gr)
-		unresponsive, unresponsiveText = g.unresponsiveMember(gr, suspicion)
+		unreachable, unreachableText = g.unreachableMember(gr, suspicion)
 	}
 	switch {
 	case headIs == conditionLost:
@@ -183,10 +183,10 @@
 		g.stepSilentHead(gr, suspicion, found)
 	case memberIs == conditionLost:
 		g.endGroup(gr, true, memberText)
-	case unresponsive == 0:
-		g.abandonGroup(gr, unresponsiveText)
-	case unresponsive > 0:
-		g.endGroup(gr, true, unresponsiveText)
+	case unreachable == 0:
+		g.abandonGroup(gr, unreachableText)
+	case unreachable > 0:
+		g.endGroup(gr, true, unreachableText)
 	case memberIs == conditionSilent && g.silenceCounts(gr) && !g.responds(suspicion, found):
 		// A member that is silent only to the core processes does not stop the head
 		// from serving. If no front process has reported on the head, it has no
@@ -229,14 +229,15 @@
 	return silent && suspicion.StalledRequests > 0
 }
 
-// unresponsiveMember returns the rank of the first member that did not respond to a
-// probe sent since the group is stalled, and a text for the log, or -1. A probe of a silent
-// member shows nothing new: the member may only be out of reach of this process.
-func (g *Grouper) unresponsiveMember(gr *group, suspicion Suspicion) (int, string) {
+// unreachableMember returns the rank of the first member that no probe could reach that was
+// sent since the group is stalled, and a text for the log, or -1. A probe of a silent
+// member shows nothing new: the member may only be out of reach of this process. One that accepts
+// connections and does not respond may only stand still for a moment.
+func (g *Grouper) unreachableMember(gr *group, suspicion Suspicion) (int, string) {
 	for i, id := range gr.info.Members {
 		s, r := g.view.Registry.Get(id), g.records[id]
-		if s != nil && r != nil && !s.Silent && !r.probePending && !r.probedAt.Before(gr.stalledSince) && g.failedProbe(s) {
-			return i, fmt.Sprintf("%d requests are stalled, and %s does not respond to a probe", suspicion.StalledRequests, id)
+		if s != nil && r != nil && !s.Silent && !r.probePending && !r.probedAt.Before(gr.stalledSince) && g.failedProbe(s) && r.isUnreachable {
+			return i, fmt.Sprintf("%d requests are stalled, and %s cannot be reached", suspicion.StalledRequests, id)
 		}
 	}
 	return -1, ""
@@ -405,16 +406,16 @@
 	}
 	suspicion, found := g.view.Suspicions[gr.info.Members[0]]
 	memberIs, text := g.worstCondition(gr)
-	rank, unresponsiveText := -1, ""
+	rank, unreachableText := -1, ""
 	if g.isStalled(gr, suspicion) {
 		g.probeStalledMembers(gr)
-		rank, unresponsiveText = g.unresponsiveMember(gr, suspicion)
+		rank, unreachableText = g.unreachableMember(gr, suspicion)
 	}
 	switch {
 	case memberIs == conditionLost:
 	case memberIs == conditionSilent && g.silenceCounts(gr) && found && !g.responds(suspicion, found):
 	case rank >= 0:
-		text = unresponsiveText
+		text = unreachableText
 	case g.isStalled(gr, suspicion) && g.now.Sub(gr.stalledSince) >= maxHeadSilence:
 		text = "the head has sent no response for too long"
 	case g.now.Sub(gr.phaseSince) >= g.drainTimeout(gr.service):
--- a/internal/grouper/slow.go
+++ b/internal/grouper/slow.go
@@ -68,11 +68,12 @@
 func (r *serverRecord) recordProbe(now time.Time, reply Reply) {
 	r.probePending, r.probeDue, r.probeFailedAt = false, false, time.Time{}
 	switch reply.Outcome {
-	case OutcomeUnanswered, OutcomeAbsent:
+	case OutcomeUnanswered, OutcomeAbsent, OutcomeUnreachable:
 		r.probeFailedAt = now
 	case OutcomeDone:
 		r.slowdown = reply.Slowdown
 	}
+	r.isUnreachable = reply.Outcome == OutcomeAbsent || reply.Outcome == OutcomeUnreachable
 	if reply.Outcome == OutcomeAbsent {
 		r.absentAt = now
 	}
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -90,6 +90,9 @@
 	OutcomeMisdirected
 	// OutcomeAbsent means that no process listens at the address.
 	OutcomeAbsent
+	// OutcomeUnreachable means that no connection to the address could be opened in time.
+	// A VM whose process only stands still accepts connections.
+	OutcomeUnreachable
 )
 
 // String returns the outcome in lower case.
@@ -99,6 +102,8 @@
 		return "accepted"
 	case OutcomeDone:
 		return "done"
+	case OutcomeUnreachable:
+		return "unreachable"
 	case OutcomeAbsent:
 		return "absent"
 	case OutcomeUnfit:
