--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -113,7 +113,7 @@
 	fencing   bool
 	evacuated map[identifier.FailureDomain]bool
 	demand    map[string]float64
-	// answerTime is how long after a close order with closeMode wait the last running
+	// answerTime is how long after a close order that waits for requests the last running
 	// request ends.
 	answerTime time.Duration
 	// frozenUntil is until when the core processes stand still: they take no heartbeat, and
