forwarder: keep no permit for a move that is not made

A permit that was reserved for a move was kept when the move turned out not to be needed, and used for the request's next retry, seconds later, although its server may have been drained or evacuated meanwhile. Found by reading in the review; the tests of moves pass as before.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -108,6 +108,8 @@
 	q := a.q
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	// A permit that is kept for a later retry may be for a server that has left by then.
+	defer q.returnReserved()
 	if x.attempt.superseded || a.isWhole || a.isAborted || !x.isStillSilent(events) {
 		x.endMove(time.Time{})
 		return
