forwarder: allow another run once one has turned out to be rejected

A request could stay with a server that was silent for good although its route allowed one more run: the run counted while its server had not answered, the silent exchange was taken out of the moves for good then, and the server rejected it later.

Change: whether the route allows another run is looked at when a move is due. TestRejectedRunCanBeMadeElsewhere failed before.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -140,14 +140,11 @@
 	return !x.finished && !x.pinned && x.eventCount == events
 }
 
-// endMove allows other servers to be tried again from a time on, if the route allows more runs.
+// endMove allows other servers to be tried again from a time on.
 func (x *exchange) endMove(next time.Time) {
 	x.q.f.mu.Lock()
 	defer x.q.f.mu.Unlock()
 	x.isMoving, x.nextMoveAt = false, next
-	if x.q.possibleRuns >= x.q.route.MaxAttempts {
-		x.pinned = true
-	}
 }
 
 // newAttempt begins an attempt, which endAttempt ends.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -46,10 +46,8 @@
 	// incarnation is that of the server.
 	incarnation identifier.Incarnation
 	// serverName names the server and its incarnation, and address is its address.
-	serverName string
-	address    string
-	// runNumber is the request's possibleRuns including this exchange.
-	runNumber      int
+	serverName     string
+	address        string
 	conn           *pooler.Conn
 	resp           *http.Response
 	respInfo       ResponseInfo
@@ -145,7 +143,7 @@
 		return nil, resultNotSent
 	}
 	now := time.Now()
-	x := &exchange{q: q, attempt: at, server: s.ID, incarnation: identifier.Incarnation(s.Incarnation), serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, runNumber: q.possibleRuns + 1, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
+	x := &exchange{q: q, attempt: at, server: s.ID, incarnation: identifier.Incarnation(s.Incarnation), serverName: isolator.NewServerName(s.ID, s.Incarnation), address: s.Address, conn: conn, lastEventAt: now, sentAt: now, predictedDelay: c.PredictedDelay}
 	// When the caller disconnects, the request's deadline passes or another attempt has gone on with the answer,
 	// a connection deadline in the past interrupts reads and writes. stopCancelHook prevents that,
 	// and reports false if it has already happened.
@@ -326,7 +324,7 @@
 func (x *exchange) recordRun() {
 	if !x.isRun {
 		x.isRun = true
-		x.q.possibleRuns++
+		x.q.addRuns(1)
 	}
 }
 
@@ -335,10 +333,18 @@
 	x.q.rejections++
 	if x.isRun {
 		x.isRun = false
-		x.q.possibleRuns--
+		x.q.addRuns(-1)
 	}
 }
 
+// addRuns changes the number of possible runs.
+func (q *request) addRuns(n int) {
+	q.possibleRuns += n
+	q.f.mu.Lock()
+	defer q.f.mu.Unlock()
+	q.hasNoRunsLeft = q.possibleRuns >= q.route.MaxAttempts
+}
+
 func (x *exchange) updateChooser(update func(c *chooser.Chooser, now time.Time)) {
 	x.q.f.mu.Lock()
 	defer x.q.f.mu.Unlock()
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -66,6 +66,8 @@
 	// made yet, at retryReservedAt in Elapsed time. Both are guarded by the Forwarder's mu.
 	retryReserved   bool
 	retryReservedAt time.Duration
+	// hasNoRunsLeft is set while the route allows no more runs. It is guarded by the Forwarder's mu.
+	hasNoRunsLeft bool
 	// retryDenied is set once the budget has not allowed a retry. It is guarded by the
 	// Forwarder's mu.
 	retryDenied bool
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -113,7 +113,7 @@
 // caller holds mu.
 func (x *exchange) reserveMove(now time.Time, early bool) bool {
 	q := x.q
-	if !q.route.Retryable() || x.runNumber >= q.route.MaxAttempts || !q.mayRepeat() {
+	if !q.route.Retryable() || q.hasNoRunsLeft || !q.mayRepeat() {
 		return false
 	}
 	req := chooser.Request{
