fronter: leave a second between the end of the listener and that of the open connections

Cause: while new connections come, the listener was closed 0.2 s before requests are ended, and connections 0.3 s after that. Front 3 closed its listener 7.309 s after SIGTERM, got no processor time until 7.588 s, and dropped at 7.604 s what had been sent at 7.29 s. Neither request is in its log.

Change: the listener is closed 1 s before requests are ended, when the load balancer has noticed long ago, so a pause of that length can be borne. Open connections are served as before.

--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -61,7 +61,7 @@
 	// After that it serves the connections that are open until they are quiet as well, but at
 	// most until lateRequestTime after the end.
 	quietTime       = 250 * time.Millisecond
-	listenerMargin  = 200 * time.Millisecond
+	listenerMargin  = time.Second
 	lateRequestTime = 100 * time.Millisecond
 	// stopCheckInterval is how often requests in flight are looked for meanwhile. If a check
 	// takes longer than maxStopCheckTime, the process was suspended or short of processor time.
