review: a planned replacement of a core VM and a lost disk after it end the log

Cause: a stopped voter stays among the voters for 3 s after its last hello; with the successor there are four voters and a quorum of three, one of which is gone for good. A disk that is lost within that time leaves two of four voters for good.

--- /dev/null
+++ b/review/rig2/roles.go
@@ -0,0 +1,236 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Figures of a small deployment.
+const (
+	memoryMB          = 284
+	heartbeatInterval = 1200 * time.Millisecond
+	// catchUp is how long a VM still counts as lost after it is back or, if it is new, after its start.
+	catchUp = 4 * time.Second
+	// callTimeout is how long the operator waits for a response before it tries another node.
+	callTimeout = time.Second
+	callerKey   = "k-7f3a91c2d4"
+	host        = "desk.example"
+)
+
+// call makes one call of the operator or a server to one control address, on a new connection.
+func call(method, address, path, body string, timeout time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Close = true
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, data, err
+}
+
+// config returns the operator's config with a version.
+func config(version int) string {
+	return strings.NewReplacer("VERSION", strconv.Itoa(version), "HOST", host, "KEY", callerKey).Replace(names["config"])
+}
+
+// order sends an order of the operator to one node after another until it is acknowledged, and
+// reports whether that was before the end of the given time.
+func (r *rig) order(method, path, body string, within time.Duration) bool {
+	end := time.Now().Add(within)
+	backoff := 50 * time.Millisecond
+	for time.Now().Before(end) {
+		list := r.knownControls()
+		address := list[rand.IntN(len(list))]
+		status, _, err := call(method, address, path, body, callTimeout)
+		r.log("operator: %s %s at %s: %d %v", method, path, address, status, err)
+		if err == nil && status/100 == 2 {
+			return true
+		}
+		if status == 400 || status == 409 || status == 412 || status == 413 || status == 422 {
+			return false
+		}
+		time.Sleep(backoff)
+		backoff = min(2*backoff, 400*time.Millisecond)
+	}
+	return false
+}
+
+// publish sends a config until it is acknowledged.
+func (r *rig) publish(version int, within time.Duration) bool {
+	ok := r.order(http.MethodPut, names["config_path"], config(version), within)
+	r.log("operator: config %d acknowledged: %v", version, ok)
+	return ok
+}
+
+// readBack asks one node after another for the config, and returns its version, or 0 if none answers
+// in time.
+func (r *rig) readBack(within time.Duration) int {
+	end := time.Now().Add(within)
+	for time.Now().Before(end) {
+		for _, address := range r.knownControls() {
+			status, data, err := call(http.MethodGet, address, names["config_path"], "", callTimeout)
+			r.log("operator: reads the config at %s: %d %v", address, status, err)
+			var c struct{ Version int }
+			if err == nil && status == http.StatusOK && json.Unmarshal(data, &c) == nil {
+				r.log("operator: the config has version %d", c.Version)
+				return c.Version
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return 0
+}
+
+// server is a stand-in for a sound replica of a plain service.
+type server struct {
+	rig      *rig
+	id       string
+	address  string
+	zone     string
+	born     int64
+	listener net.Listener
+
+	mu       sync.Mutex
+	sequence int
+	ran      map[string]int
+}
+
+func (r *rig) startServer(n, zone int) (*server, error) {
+	l, err := net.Listen("tcp", r.address(r.ip(n), r.ports.server))
+	if err != nil {
+		return nil, err
+	}
+	s := &server{
+		rig: r, id: fmt.Sprintf("i-%08x", rand.Uint32()), address: l.Addr().String(), zone: fmt.Sprintf("zone-%d", zone),
+		born: time.Now().UnixMilli(), listener: l, ran: map[string]int{},
+	}
+	go func() { _ = http.Serve(l, s) }()
+	go func() {
+		for {
+			s.beat()
+			time.Sleep(heartbeatInterval)
+		}
+	}()
+	r.log("server %s starts at %s", s.id, s.address)
+	return s, nil
+}
+
+// beat sends one heartbeat, to another node if the first does not acknowledge it.
+func (s *server) beat() {
+	s.mu.Lock()
+	s.sequence++
+	body := strings.NewReplacer("ADDRESS", s.address, "ZONE", s.zone, "BORN", strconv.FormatInt(s.born, 10), "SEQUENCE", strconv.Itoa(s.sequence)).Replace(names["heartbeat"])
+	s.mu.Unlock()
+	list := s.rig.knownControls()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, address := range list {
+		if status, _, err := call(http.MethodPut, address, names["replicas_path"]+s.id, body, time.Second); err == nil && status/100 == 2 {
+			return
+		}
+	}
+}
+
+// ServeHTTP runs a request.
+func (s *server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get(names["request_id"])
+	h := w.Header()
+	h.Set(names["request_id"], id)
+	if expected := req.Header.Get(names["expected"]); expected != "" && expected != s.id {
+		h.Set(names["not_executed"], "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	s.ran[id]++
+	s.mu.Unlock()
+	h.Set(names["signature"], s.id+"."+id)
+	_, _ = w.Write(bytes.Repeat([]byte("x"), 800))
+}
+
+// outcome is how a caller's request ended.
+type outcome struct {
+	at     time.Duration
+	status int
+}
+
+// callers sends requests to fronts, each on a new connection, until stop is closed.
+type callers struct {
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+func (r *rig) startCallers(fronts []*node, interval time.Duration, stop chan struct{}) *callers {
+	c := &callers{}
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(interval):
+			}
+			go c.send(r, fronts[i%len(fronts)])
+		}
+	}()
+	return c
+}
+
+func (c *callers) send(r *rig, front *node) {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address(front.ip, r.ports.callers)+"/read/1", strings.NewReader("{}"))
+	if err != nil {
+		return
+	}
+	req.Close = true
+	req.Host = host
+	req.Header.Set(names["request_id"], id)
+	req.Header.Set(names["time_limit"], "4000")
+	req.Header.Set(names["key"], callerKey)
+	at, status := time.Since(r.started), 0
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err == nil {
+			status = resp.StatusCode
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, outcome{at, status})
+}
+
+// count counts the outcomes of requests sent since a time, by status.
+func (c *callers) count(since time.Duration) map[int]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := map[int]int{}
+	for _, o := range c.outcomes {
+		if o.at >= since {
+			n[o.status]++
+		}
+	}
+	return n
+}
