--- a/review/rig2/random.go
+++ b/review/rig2/random.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -39,7 +40,7 @@
 		return statusNotRun
 	}
 	time.Sleep(4 * time.Second)
-	ops := []string{"planned", "gone", "wipe", "kill", "freeze", "killall", "wipe", "gone", "planned"}
+	ops := strings.Split(os.Getenv("OPS"), ",")
 	for time.Since(r.started) < time.Duration(seconds)*time.Second {
 		i, op := rnd.IntN(3), ops[rnd.IntN(len(ops))]
 		v := cores[i]
