review: a late departure ends the next life of a server under its id

Cause: a departure without a start time ends the life that the core process knows, and later heartbeats of that life are dropped; nobody looks whether the caller still waits.

--- a/review/rig2/replaced.go
+++ b/review/rig2/replaced.go
@@ -10,6 +10,7 @@
 // deployment is three core processes, two fronts and two servers of a plain service.
 type deployment struct {
 	cores, fronts []*node
+	servers       []*server
 	callers       *callers
 	stop          chan struct{}
 }
@@ -34,9 +35,11 @@
 		d.fronts = append(d.fronts, v)
 	}
 	for n := 21; n <= 22; n++ {
-		if _, err := r.startServer(n, n-20); err != nil {
+		s, err := r.startServer(n, n-20)
+		if err != nil {
 			return nil, err
 		}
+		d.servers = append(d.servers, s)
 	}
 	return d, nil
 }
--- a/review/rig2/roles.go
+++ b/review/rig2/roles.go
@@ -25,8 +25,10 @@
 	catchUp = 4 * time.Second
 	// callTimeout is how long the operator waits for a response before it tries another node.
 	callTimeout = time.Second
-	callerKey   = "k-7f3a91c2d4"
-	host        = "desk.example"
+	// drainTime is how long a server serves after the acknowledgement that it leaves: drainMs and a little longer.
+	drainTime = 2200 * time.Millisecond
+	callerKey = "k-7f3a91c2d4"
+	host      = "desk.example"
 )
 
 // call makes one call of the operator or a server to one control address, on a new connection.
@@ -101,53 +103,109 @@
 	return 0
 }
 
-// server is a stand-in for a sound replica of a plain service.
+// server is a stand-in for a sound replica of a plain service. Its fields but ran are those of the present life.
 type server struct {
-	rig      *rig
-	id       string
-	address  string
-	zone     string
-	born     int64
-	listener net.Listener
+	rig     *rig
+	id      string
+	address string
+	zone    string
+	// controls returns the control addresses in the order in which the server tries them.
+	controls func() []string
 
 	mu       sync.Mutex
+	born     int64
 	sequence int
-	ran      map[string]int
+	ended    chan struct{}
+	program  *http.Server
+	// acknowledged and unacknowledged count the heartbeats of this life.
+	acknowledged, unacknowledged int
+	ran                          map[string]int
 }
 
 func (r *rig) startServer(n, zone int) (*server, error) {
-	l, err := net.Listen("tcp", r.address(r.ip(n), r.ports.server))
-	if err != nil {
-		return nil, err
-	}
 	s := &server{
-		rig: r, id: fmt.Sprintf("i-%08x", rand.Uint32()), address: l.Addr().String(), zone: fmt.Sprintf("zone-%d", zone),
-		born: time.Now().UnixMilli(), listener: l, ran: map[string]int{},
+		rig: r, id: fmt.Sprintf("i-%08x", rand.Uint32()), address: r.address(r.ip(n), r.ports.server), zone: fmt.Sprintf("zone-%d", zone),
+		controls: r.shuffledControls, ran: map[string]int{},
 	}
-	go func() { _ = http.Serve(l, s) }()
+	return s, s.start()
+}
+
+func (r *rig) shuffledControls() []string {
+	list := r.knownControls()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// start begins a life of the server.
+func (s *server) start() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	ended, program := make(chan struct{}), &http.Server{Handler: s}
+	s.mu.Lock()
+	s.born, s.sequence, s.ended, s.program = time.Now().UnixMilli(), 0, ended, program
+	s.acknowledged, s.unacknowledged = 0, 0
+	s.rig.log("server %s starts at %s, born %d", s.id, s.address, s.born)
+	s.mu.Unlock()
+	go func() { _ = program.Serve(l) }()
 	go func() {
 		for {
-			s.beat()
-			time.Sleep(heartbeatInterval)
+			s.beat(ended)
+			select {
+			case <-ended:
+				return
+			case <-time.After(heartbeatInterval):
+			}
 		}
 	}()
-	r.log("server %s starts at %s", s.id, s.address)
-	return s, nil
+	return nil
 }
 
 // beat sends one heartbeat, to another node if the first does not acknowledge it.
-func (s *server) beat() {
+func (s *server) beat(ended chan struct{}) {
 	s.mu.Lock()
 	s.sequence++
 	body := strings.NewReplacer("ADDRESS", s.address, "ZONE", s.zone, "BORN", strconv.FormatInt(s.born, 10), "SEQUENCE", strconv.Itoa(s.sequence)).Replace(names["heartbeat"])
 	s.mu.Unlock()
-	list := s.rig.knownControls()
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for _, address := range list {
-		if status, _, err := call(http.MethodPut, address, names["replicas_path"]+s.id, body, time.Second); err == nil && status/100 == 2 {
+	done := false
+	for _, address := range s.controls() {
+		select {
+		case <-ended:
 			return
+		default:
+		}
+		if status, _, err := call(http.MethodPut, address, names["replicas_path"]+s.id, body, time.Second); err == nil && status/100 == 2 {
+			done = true
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if done {
+		s.acknowledged++
+	} else {
+		s.unacknowledged++
+	}
+}
+
+// leave says that the server leaves, without saying before that it drains, serves for the time that the pages
+// ask for after the acknowledgement, and ends.
+func (s *server) leave() {
+	s.mu.Lock()
+	ended, program := s.ended, s.program
+	s.mu.Unlock()
+	for _, address := range s.controls() {
+		status, _, err := call(http.MethodDelete, address, names["replicas_path"]+s.id, "", time.Second)
+		s.rig.log("server %s leaves, said to %s: %d %v", s.id, address, status, err)
+		if err == nil && status/100 == 2 {
+			break
 		}
 	}
+	close(ended)
+	time.Sleep(drainTime)
+	_ = program.Close()
+	s.rig.log("server %s has ended", s.id)
 }
 
 // ServeHTTP runs a request.
