--- a/review/rig2/roles.go
+++ b/review/rig2/roles.go
@@ -254,18 +254,23 @@
 	return c
 }
 
-func (c *callers) send(r *rig, front *node) {
-	id := fmt.Sprintf("%016x", rand.Uint64())
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+func (c *callers) send(r *rig, front *node) { c.sendWith(r, front, "/read/1", 4*time.Second, nil) }
+
+// sendWith sends a request with a path, a time limit and more headers.
+func (c *callers) sendWith(r *rig, front *node, path string, limit time.Duration, headers map[string]string) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address(front.ip, r.ports.callers)+"/read/1", strings.NewReader("{}"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address(front.ip, r.ports.callers)+path, strings.NewReader("{}"))
 	if err != nil {
 		return
 	}
 	req.Close = true
 	req.Host = host
-	req.Header.Set(names["request_id"], id)
-	req.Header.Set(names["time_limit"], "4000")
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	req.Header.Set(names["request_id"], fmt.Sprintf("%016x", rand.Uint64()))
+	req.Header.Set(names["time_limit"], strconv.FormatInt(limit.Milliseconds(), 10))
 	req.Header.Set(names["key"], callerKey)
 	at, status := time.Since(r.started), 0
 	if resp, err := http.DefaultClient.Do(req); err == nil {
