--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -64,22 +64,16 @@
 }
 
 func (es *engines) start(n, zone int) (*engine, error) {
-	l, err := net.Listen("tcp", es.rig.address(es.rig.ip(n), es.rig.ports.server))
-	if err != nil {
-		return nil, err
-	}
 	e := &engine{
-		of: es, id: fmt.Sprintf("i-%08x", rand.Uint32()), address: l.Addr().String(), zone: fmt.Sprintf("zone-%d", zone),
+		of: es, id: fmt.Sprintf("i-%08x", rand.Uint32()), address: es.rig.address(es.rig.ip(n), es.rig.ports.server), zone: fmt.Sprintf("zone-%d", zone),
 		born: time.Now().UnixMilli(), now: make(chan struct{}, 1),
 	}
 	es.mu.Lock()
 	es.all[e.id] = e
 	es.mu.Unlock()
-	mux := http.NewServeMux()
-	mux.HandleFunc(names["order_path"], e.handleOrder)
-	mux.HandleFunc(names["report_path"], func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"pace":1.0}`) })
-	mux.HandleFunc("/", e.handleRequest)
-	go func() { _ = http.Serve(l, mux) }()
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
 	go func() {
 		for {
 			e.beat()
@@ -93,6 +87,19 @@
 	return e, nil
 }
 
+func (e *engine) listen() error {
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(names["order_path"], e.handleOrder)
+	mux.HandleFunc(names["report_path"], func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"pace":1.0}`) })
+	mux.HandleFunc("/", e.handleRequest)
+	go func() { _ = http.Serve(l, mux) }()
+	return nil
+}
+
 func (e *engine) announce() {
 	select {
 	case e.now <- struct{}{}:
@@ -244,7 +251,9 @@
 	e.sequence++
 	e.group, e.epoch, e.rank, e.state = o.Group, o.Epoch, slices.Index(o.Members, e.id), stateJoining
 	e.members = o.Members
-	e.later(d, func() { e.state, e.model, e.staged = stateReady, o.Model, o.Model })
+	e.later(d, func() {
+		e.state, e.model, e.staged = stateReady, o.Model, o.Model
+	})
 	return http.StatusAccepted
 }
 
