review: two of six core VMs replaced, two disks lost after the catch-up time end the log

Cause: successors become voters at once, those that are gone stay for 10 s; five of eight voters are needed, and two more losses leave four for good.

--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -71,7 +71,7 @@
 		os.Exit(statusNotRun)
 	}
 	cases := map[string]func(*rig) int{
-		"replaced": runReplaced, "bodies": runBodies, "departure": runDeparture, "foreign": runForeign,
+		"replaced": runReplaced, "bodies": runBodies, "departure": runDeparture, "foreign": runForeign, "pair": runPair,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig2 CASE RECORD")
