--- a/review/rig2/pair.go
+++ b/review/rig2/pair.go
@@ -65,14 +65,14 @@
 		cores[1].signal(syscall.SIGKILL)
 		cores[0].wipe()
 		cores[1].wipe()
-		time.Sleep(time.Second)
+		time.Sleep(downTime)
 		for _, v := range cores[:2] {
 			if err := v.start(); err != nil {
 				return statusNotRun
 			}
 		}
 	} else {
-		time.Sleep(catchUpOfSix + 2500*time.Millisecond)
+		time.Sleep(catchUpOfSix + 1500*time.Millisecond + downTime)
 		if !r.publish(3, 4*time.Second) {
 			return statusNotRun
 		}
--- a/review/rig2/replaced.go
+++ b/review/rig2/replaced.go
@@ -44,6 +44,9 @@
 	return d, nil
 }
 
+// downTime is how long a VM is down that loses its disk.
+const downTime = 3 * time.Second
+
 // runReplaced lets a core VM be replaced as planned and, once it is gone, another one lose its disk.
 func runReplaced(r *rig) int {
 	d, err := r.deploy()
@@ -70,12 +73,12 @@
 		time.Sleep(time.Second)
 		a.signal(syscall.SIGKILL)
 		a.wipe()
-		time.Sleep(time.Second)
+		time.Sleep(downTime)
 		if err := a.start(); err != nil {
 			return statusNotRun
 		}
 	} else {
-		time.Sleep(2*catchUp + 2*time.Second)
+		time.Sleep(2*catchUp + time.Second + downTime)
 	}
 	// The last loss is over when the VM has been back for the time that it needs to catch up.
 	time.Sleep(catchUp + 16*time.Second)
