review: scripts that end what they start when they are ended, and records of each request

An interrupted run left its processes behind; a case that hangs is given up after 115 s. The records name each request, where it was sent, how it was answered and which server ran it.

--- a/review/rig2/bodies.go
+++ b/review/rig2/bodies.go
@@ -76,8 +76,12 @@
 
 // upload sends one request with a body of a size, in the given time, and returns the status of its answer,
 // or 0 if there was none.
-func (r *rig) upload(front *node, size int, within time.Duration) int {
+func (r *rig) upload(front *node, size int, within time.Duration) (status int) {
 	const parts = 60
+	id, at := fmt.Sprintf("%016x", rand.Uint64()), time.Since(r.started)
+	defer func() {
+		r.log("request %s of %d bytes sent to %s at %.3f: %d", id, size, front.name, at.Seconds(), status)
+	}()
 	limit := 8 * time.Second
 	c, err := net.DialTimeout("tcp", r.address(front.ip, r.ports.callers), time.Second)
 	if err != nil {
@@ -85,8 +89,8 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(limit))
-	if _, err := fmt.Fprintf(c, "POST /read/1 HTTP/1.1\r\nHost: %s\r\n%s: %016x\r\n%s: %d\r\n%s: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n",
-		host, names["request_id"], rand.Uint64(), names["time_limit"], limit.Milliseconds(), names["key"], callerKey, size); err != nil {
+	if _, err := fmt.Fprintf(c, "POST /read/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n",
+		host, names["request_id"], id, names["time_limit"], limit.Milliseconds(), names["key"], callerKey, size); err != nil {
 		return 0
 	}
 	part := make([]byte, size/parts+1)
@@ -103,7 +107,7 @@
 		return 0
 	}
 	_, _ = io.Copy(io.Discard, c)
-	status, _ := strconv.Atoi(string(head[len(head)-3:]))
+	status, _ = strconv.Atoi(string(head[len(head)-3:]))
 	return status
 }
 
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -61,6 +61,8 @@
 	// change is the number of the last change that an order has begun.
 	change int
 	now    chan struct{}
+	// began counts the streams that have begun here, and running those that run.
+	began, running int
 }
 
 func (es *engines) start(n, zone int) (*engine, error) {
@@ -236,7 +238,7 @@
 	}
 	if len(e.members) > 0 && e.members[0] != e.id {
 		if head := e.of.all[e.members[0]]; head.group == e.group && head.epoch == e.epoch && head.state == stateOpen {
-			text := fmt.Sprintf("%s takes a join of %s while the head %s of its group %s is open", e.id, o.Group, head.id, e.group)
+			text := fmt.Sprintf("%s takes a join of %s while the head %s of its group %s is open and runs %d streams", e.id, o.Group, head.id, e.group, head.running)
 			e.of.twice = append(e.of.twice, text)
 			e.of.rig.log("TWO: %s", text)
 		}
@@ -288,6 +290,16 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	e.of.mu.Lock()
+	e.began++
+	e.running++
+	e.of.mu.Unlock()
+	defer func() {
+		e.of.mu.Lock()
+		defer e.of.mu.Unlock()
+		e.running--
+	}()
+	e.of.rig.log("engine %s runs %s", e.id, id)
 	h.Set(names["signature"], e.id+"."+id)
 	h.Set("Content-Type", "text/event-stream")
 	first := 1
@@ -382,7 +394,14 @@
 		status, _, err := call(http.MethodPut, list[0], names["replicas_path"]+"exporter-1", text, time.Second)
 		r.log("another writer says %s: %d %v", text, status, err)
 	}
-	time.Sleep(15 * time.Second)
+	time.Sleep(time.Second)
+	es.mu.Lock()
+	began := h.began
+	es.mu.Unlock()
+	time.Sleep(14 * time.Second)
+	es.mu.Lock()
+	r.log("streams that began at the head %s later than 1 s after that: %d; its group is whole: %v, its state %s", h.id, h.began-began, h.isWhole(), h.state)
+	es.mu.Unlock()
 	close(d.stop)
 	time.Sleep(9 * time.Second)
 	r.log("streams by status (0: broken off): %v", d.callers.count(0))
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -8,10 +8,12 @@
 import (
 	_ "embed"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -46,8 +48,9 @@
 	recordMu sync.Mutex
 	record   *os.File
 
-	mu    sync.Mutex
-	nodes []*node
+	mu       sync.Mutex
+	nodes    []*node
+	stopping bool
 	// controls lists the control addresses that operator and servers know.
 	controls []string
 }
@@ -82,12 +85,30 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(statusNotRun)
 	}
-	status := cases[os.Args[1]](r)
-	r.stopAll()
-	r.log("exit status %d", status)
-	os.Exit(status)
+	end := func(status int) {
+		r.stopAll()
+		r.log("exit status %d", status)
+		os.Exit(status)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case s := <-signals:
+			r.log("the script gets %s", s)
+		case <-time.After(longestRun):
+			r.log("the script takes too long")
+		}
+		end(statusNotRun)
+	}()
+	end(cases[os.Args[1]](r))
 }
 
+// longestRun is the time after which a case that hasn't ended is given up.
+const longestRun = 115 * time.Second
+
+var errStopping = errors.New("the script ends")
+
 func newRig(recordFile string) (*rig, error) {
 	record, err := os.Create(recordFile)
 	if err != nil {
@@ -168,13 +189,22 @@
 	cmd := exec.Command("target/trefoilhead", v.role)
 	cmd.Env = append(os.Environ(), names["settings_variable"]+"="+file)
 	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	exited := make(chan struct{})
+	r.mu.Lock()
+	if r.stopping {
+		r.mu.Unlock()
+		return errStopping
+	}
+	err = cmd.Start()
+	if err == nil {
+		v.mu.Lock()
+		v.cmd, v.exited = cmd, exited
+		v.mu.Unlock()
+	}
+	r.mu.Unlock()
+	if err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	v.mu.Lock()
-	v.cmd, v.exited = cmd, exited
-	v.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		_ = out.Close()
@@ -206,10 +236,17 @@
 func (r *rig) stopAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stopping {
+		return
+	}
+	r.stopping = true
 	for _, v := range r.nodes {
 		v.mu.Lock()
 		cmd, exited := v.cmd, v.exited
 		v.mu.Unlock()
+		if cmd == nil {
+			continue
+		}
 		select {
 		case <-exited:
 		default:
--- a/review/rig2/roles.go
+++ b/review/rig2/roles.go
@@ -223,6 +223,7 @@
 	s.mu.Lock()
 	s.ran[id]++
 	s.mu.Unlock()
+	s.rig.log("server %s has run %s", s.id, id)
 	h.Set(names["signature"], s.id+"."+id)
 	_, _ = w.Write(bytes.Repeat([]byte("x"), 800))
 }
@@ -269,7 +270,8 @@
 	for name, value := range headers {
 		req.Header.Set(name, value)
 	}
-	req.Header.Set(names["request_id"], fmt.Sprintf("%016x", rand.Uint64()))
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	req.Header.Set(names["request_id"], id)
 	req.Header.Set(names["time_limit"], strconv.FormatInt(limit.Milliseconds(), 10))
 	req.Header.Set(names["key"], callerKey)
 	at, status := time.Since(r.started), 0
@@ -280,6 +282,7 @@
 			status = resp.StatusCode
 		}
 	}
+	r.log("request %s sent to %s at %.3f: %d", id, front.name, at.Seconds(), status)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, outcome{at, status})
