replicator: exchange a voter in one change, learners, resignations

A voter could only be added or removed. So a voter that is gone was either counted beside its successor, in a larger quorum that needs the successor, or removed before it, with fewer disks that hold what is acknowledged.

Change: ProposeVoters accepts a set with another voter in place of one. The entry holds both sets; until it is committed and followed by the set after it, elections and commits need a majority of each. A leader sends the log to learners, which do not vote, and tells whether they have caught up. A leader can resign: one voter holds an election after a tick, the others do not wait for it. The id of a disk begins with the time at which it was first used.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -102,10 +102,12 @@
 	SnapshotMinEntries replicator.Index
 	TrailingEntries    replicator.Index
 
-	inbox             chan any
-	node              *replicator.Node
-	pending           map[replicator.Index][]pendingProposal
-	probe             *logProbe
+	inbox   chan any
+	node    *replicator.Node
+	pending map[replicator.Index][]pendingProposal
+	probe   *logProbe
+	// learners are the ids that were passed to SetLearners.
+	learners          []replicator.NodeID
 	status            lockedStatus
 	appliedIndex      replicator.Index
 	lastSnapshotIndex replicator.Index
@@ -276,6 +278,11 @@
 		d.handleProposal(item)
 	case lostVoter:
 		d.node.MarkLost(replicator.NodeID(item))
+	case learnerSet:
+		d.learners = item
+		d.node.SetLearners(item)
+	case resignation:
+		d.resign()
 	case serializedState:
 		if err := d.storeSnapshot(item); err != nil {
 			d.storageErr = err
@@ -283,6 +290,13 @@
 	}
 }
 
+func (d *Driver) resign() {
+	if d.node.Role() == replicator.Leader {
+		_ = level.Info(d.Logger).Log("msg", "gives up the lead", "term", d.node.Term())
+	}
+	d.node.Resign()
+}
+
 func (d *Driver) handleMessage(m replicator.Message) {
 	switch {
 	case m.Kind == probeRequest:
@@ -409,6 +423,22 @@
 	return id != "" && !strings.Contains(string(id), diskIDSeparator)
 }
 
+// A disk id is the time at which the disk was first used, in Unix milliseconds, and a random
+// number.
+const diskIDFormat = "%012x.%08x"
+
 func newNodeID(vm identifier.VM, r *rand.Rand) replicator.NodeID {
-	return replicator.NodeID(fmt.Sprintf("%s%s%016x", vm, diskIDSeparator, r.Uint64()))
+	return replicator.NodeID(fmt.Sprintf("%s%s"+diskIDFormat, vm, diskIDSeparator, time.Now().UnixMilli(), r.Uint32()))
+}
+
+// DiskUsedSince returns when a voter has first used its disk, in Unix milliseconds by its own
+// clock, or 0 if its id does not tell. Voters that began the log have no such time.
+func DiskUsedSince(id replicator.NodeID) int64 {
+	_, diskID, _ := strings.Cut(string(id), diskIDSeparator)
+	var since int64
+	var nonce uint32
+	if _, err := fmt.Sscanf(diskID, diskIDFormat, &since, &nonce); err != nil {
+		return 0
+	}
+	return since
 }
--- a/internal/driver/proposals.go
+++ b/internal/driver/proposals.go
@@ -17,6 +17,12 @@
 // lostVoter is the id of a voter that will never run again.
 type lostVoter replicator.NodeID
 
+// learnerSet holds the ids that get the log without being voters.
+type learnerSet []replicator.NodeID
+
+// resignation asks this voter to give up the lead.
+type resignation struct{}
+
 type pendingProposal struct {
 	term replicator.Term
 	done chan result
@@ -35,7 +41,8 @@
 	if id == "" {
 		return
 	}
-	for _, v := range d.Status().Voters {
+	st := d.Status()
+	for _, v := range st.Members() {
 		if VMOf(v) == vm && v != id {
 			d.enqueue(lostVoter(v))
 		}
@@ -60,8 +67,16 @@
 	return d.submit(ctx, proposal{data: data, done: make(chan result, 1)})
 }
 
+// SetLearners sets the ids that get the log without being voters while this voter leads.
+// It never blocks.
+func (d *Driver) SetLearners(ids []replicator.NodeID) { d.enqueue(learnerSet(ids)) }
+
+// Resign gives up the lead, if this voter has it, so that the others elect a leader at
+// once. It never blocks.
+func (d *Driver) Resign() { d.enqueue(resignation{}) }
+
 // ProposeVoters replaces the set of voters by one that has exactly one voter more
-// or less, and returns once the change is committed.
+// or less, or another one in place of one, and returns once the change is committed.
 func (d *Driver) ProposeVoters(ctx context.Context, voters []replicator.NodeID) error {
 	_, err := d.submit(ctx, proposal{voters: voters, done: make(chan result, 1)})
 	return err
--- a/internal/replicator/disks_test.go
+++ b/internal/replicator/disks_test.go
@@ -21,6 +21,8 @@
 	// replaced everywhere, and lost all voters whose disk was ever lost.
 	replacements map[NodeID]NodeID
 	lost         []NodeID
+	// exchange replaces a voter by its replacement in one change, once that one has the log.
+	exchange bool
 	// ended is set once no more disks are lost.
 	ended bool
 }
@@ -101,6 +103,10 @@
 			delete(d.replacements, old)
 		}
 	}
+	if d.exchange {
+		d.exchangeVoter(leader, n, voters)
+		return
+	}
 	next := voters
 	for _, id := range d.lost {
 		if slices.Contains(voters, id) {
@@ -125,15 +131,42 @@
 	}
 }
 
+// exchangeVoter lets the leader exchange a voter whose disk is lost for its replacement, or
+// resign now and then.
+func (d *diskLosses) exchangeVoter(leader NodeID, n *Node, voters []NodeID) {
+	n.SetLearners(d.replacementIDs())
+	defer d.cluster.processOutput(leader)
+	if !d.ended && d.rand.IntN(100) == 0 {
+		n.Resign()
+		return
+	}
+	for old, fresh := range d.replacements {
+		if i := slices.Index(voters, old); i >= 0 && n.HasCaughtUp(fresh) {
+			next := slices.Clone(voters)
+			next[i] = fresh
+			// It fails while an earlier change is not complete, and is proposed again then.
+			_, _, _ = n.ProposeVoters(next)
+			return
+		}
+	}
+}
+
+// TestHistoriesWithExchangedVoters checks the same as TestHistoriesWithLostDisks while voters are
+// replaced in one change and leaders resign.
+func TestHistoriesWithExchangedVoters(t *testing.T) { checkHistoriesWithLostDisks(t, true) }
+
 // TestHistoriesWithLostDisks checks the same as TestHistories while disks are lost, most often
 // right after an operation has completed, together with the power of all other voters.
-func TestHistoriesWithLostDisks(t *testing.T) {
+func TestHistoriesWithLostDisks(t *testing.T) { checkHistoriesWithLostDisks(t, false) }
+
+func checkHistoriesWithLostDisks(t *testing.T, exchange bool) {
+	t.Helper()
 	for seed := range uint64(*histories) {
 		for most, ids := range map[int][]NodeID{1: {"a", "b", "c"}, 2: {"a", "b", "c", "d", "e"}} {
 			t.Run(fmt.Sprintf("%d, %d voters", seed, len(ids)), func(t *testing.T) {
 				h := &history{cluster: newCluster(seed, ids...), rand: rand.New(rand.NewPCG(seed, 3))}
 				h.cluster.earlyElectionTicks = 20
-				h.disks = &diskLosses{cluster: h.cluster, rand: rand.New(rand.NewPCG(seed, 4)), most: most, replacements: map[NodeID]NodeID{}}
+				h.disks = &diskLosses{cluster: h.cluster, rand: rand.New(rand.NewPCG(seed, 4)), most: most, exchange: exchange, replacements: map[NodeID]NodeID{}}
 				h.run(1500)
 				for _, violation := range h.cluster.violations {
 					t.Error(violation)
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -55,6 +55,8 @@
 	// voterSets holds every set of voters in the log, oldest first. The first one
 	// is in effect at the start of the log.
 	voterSets []voterSet
+	// hasBeenVoter is set once this Node was in one of them.
+	hasBeenVoter bool
 
 	elapsedTicks    int
 	electionTimeout int
@@ -69,18 +71,17 @@
 	votes     map[NodeID]bool
 	progress  map[NodeID]*progress
 	noOpIndex Index
+	// learners get the log from this Node while it leads, without being voters.
+	learners []NodeID
+	// commitAtHeartbeat is the commit index at the leader's last heartbeat.
+	commitAtHeartbeat Index
 
 	output           Output
 	hardStateChanged bool
 	firstUnpersisted Index
 }
 
-type voterSet struct {
-	index  Index
-	voters []NodeID
-}
-
-// progress is a leader's view of another voter's log.
+// progress is a leader's view of the log of another voter or of a learner.
 type progress struct {
 	matchIndex     Index
 	nextIndex      Index
@@ -120,7 +121,8 @@
 	n.hardState = s.State
 	n.snapshot = s.Snapshot
 	n.log.reset(s.Snapshot.Index, s.Snapshot.Term)
-	n.voterSets = []voterSet{{index: s.Snapshot.Index, voters: s.Snapshot.Voters}}
+	n.voterSets, n.hasBeenVoter = nil, false
+	n.addVoterSet(newVoterSet(s.Snapshot.Index, s.Snapshot.Voters))
 	n.commitIndex = s.Snapshot.Index
 	n.deliveredIndex = s.Snapshot.Index
 	for _, e := range s.Entries {
@@ -184,8 +186,40 @@
 // committed.
 func (n *Node) HasCommittedInTerm() bool { return n.role == Leader && n.commitIndex >= n.noOpIndex }
 
-// Voters returns the newest set of voters in the log, committed or not.
-func (n *Node) Voters() []NodeID { return n.voterSets[len(n.voterSets)-1].voters }
+// Voters returns the newest set of voters in the log, committed or not. While an
+// exchange is under way these are the voters after it.
+func (n *Node) Voters() []NodeID { return n.voterSet().voters }
+
+// PreviousVoters returns the voters before the exchange that is under way, or nothing.
+func (n *Node) PreviousVoters() []NodeID { return n.voterSet().previous }
+
+func (n *Node) voterSet() voterSet { return n.voterSets[len(n.voterSets)-1] }
+
+// SetLearners sets the ids that get the log without being voters while this Node leads,
+// so that they can become voters without lagging behind.
+func (n *Node) SetLearners(ids []NodeID) {
+	n.learners = slices.Clone(ids)
+	if n.role == Leader {
+		n.updateProgress()
+	}
+}
+
+// HasCaughtUp reports whether this Node leads and another one holds all entries that were
+// committed at the last heartbeat.
+func (n *Node) HasCaughtUp(id NodeID) bool {
+	p := n.progress[id]
+	return n.HasCommittedInTerm() && p != nil && p.matchIndex >= max(n.commitAtHeartbeat, n.noOpIndex)
+}
+
+// HasBeenVoter reports whether this Node was in a set of voters since Start, or in one that
+// its log held then.
+func (n *Node) HasBeenVoter() bool { return n.hasBeenVoter }
+
+// addVoterSet records a set of voters that an entry or a snapshot holds.
+func (n *Node) addVoterSet(s voterSet) {
+	n.voterSets = append(n.voterSets, s)
+	n.hasBeenVoter = n.hasBeenVoter || s.contains(n.ID)
+}
 
 // Tick advances the Node's clock by one tick.
 func (n *Node) Tick() {
@@ -220,29 +254,27 @@
 }
 
 // isVoter reports whether this Node is among the voters.
-func (n *Node) isVoter() bool { return slices.Contains(n.Voters(), n.ID) }
+func (n *Node) isVoter() bool { return n.voterSet().contains(n.ID) }
 
 func (n *Node) tickLeader() {
 	if n.elapsedTicks%n.HeartbeatTicks == 0 {
+		n.commitAtHeartbeat = n.commitIndex
 		n.broadcastAppend(true)
 	}
 	if n.elapsedTicks < n.ElectionTicks {
 		return
 	}
 	n.elapsedTicks = 0
-	active := 0
-	for _, id := range n.Voters() {
-		if id == n.ID {
-			active++
-			continue
-		}
-		if p := n.progress[id]; p != nil && p.recentlyActive {
-			active++
-			p.recentlyActive = false
-		}
+	isActive := func(id NodeID) bool {
+		p := n.progress[id]
+		return id == n.ID || p != nil && p.recentlyActive
 	}
-	if active < majority(len(n.Voters())) {
+	if !n.voterSet().isQuorum(isActive) {
 		n.becomeFollower(n.hardState.Term, "")
+		return
+	}
+	for _, p := range n.progress {
+		p.recentlyActive = false
 	}
 }
 
@@ -253,16 +285,22 @@
 	return n.propose(EntryCommand, data)
 }
 
-// ProposeVoters appends a new set of voters, which must differ from the current
-// one by exactly one voter. It takes effect as soon as it is appended.
+// ProposeVoters appends a new set of voters, which must have one voter more or less
+// than the current one, or another one in place of one. It takes effect as soon as it is
+// appended; an exchange is complete once the set after it is committed too.
 func (n *Node) ProposeVoters(voters []NodeID) (Index, Term, error) {
 	if n.role == Leader && (n.voterSets[len(n.voterSets)-1].index > n.commitIndex || n.commitIndex < n.noOpIndex) {
 		return 0, 0, ErrVoterChangePending
 	}
-	if !differByOne(n.Voters(), voters) {
-		return 0, 0, errors.New("voters have to change one at a time")
+	switch current := n.voterSet(); {
+	case current.isJoint():
+		return 0, 0, ErrVoterChangePending
+	case differByOne(current.voters, voters):
+		return n.propose(EntryVoters, encodeVoters(voters))
+	case isExchange(current.voters, voters):
+		return n.propose(EntryVoters, encodeVoters(voterSet{voters: voters, previous: current.voters}.encode()))
 	}
-	return n.propose(EntryVoters, encodeVoters(voters))
+	return 0, 0, errors.New("voters have to change one at a time")
 }
 
 func (n *Node) propose(kind EntryKind, data []byte) (Index, Term, error) {
@@ -294,28 +332,39 @@
 	if e.Kind != EntryVoters {
 		return
 	}
-	voters := decodeVoters(e.Data)
-	n.voterSets = append(n.voterSets, voterSet{index: e.Index, voters: voters})
+	n.addVoterSet(newVoterSet(e.Index, decodeVoters(e.Data)))
 	if n.role == Leader {
 		n.updateProgress()
 	}
 }
 
-// updateProgress adds new voters to the leader's progress table and removes
-// those that are no longer voters.
+// updateProgress adds new voters and learners to the leader's progress table and
+// removes those that are neither any longer.
 func (n *Node) updateProgress() {
-	for _, id := range n.Voters() {
-		if id != n.ID && n.progress[id] == nil {
+	followers := n.followers()
+	for _, id := range followers {
+		if n.progress[id] == nil {
 			n.progress[id] = &progress{nextIndex: n.log.lastIndex() + 1, recentlyActive: true}
 		}
 	}
 	for id := range n.progress {
-		if !slices.Contains(n.Voters(), id) {
+		if !slices.Contains(followers, id) {
 			delete(n.progress, id)
 		}
 	}
 }
 
+// followers returns the other voters and the learners.
+func (n *Node) followers() []NodeID {
+	ids := n.voterSet().members()
+	for _, id := range n.learners {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return slices.DeleteFunc(ids, func(id NodeID) bool { return id == n.ID })
+}
+
 // MarkPersisted tells the Node that the entries of its Outputs up to index i are
 // synced to this voter's disk.
 func (n *Node) MarkPersisted(i Index) {
@@ -336,7 +385,7 @@
 	if !ok || i > n.deliveredIndex || i <= n.snapshot.Index {
 		return Snapshot{}, false
 	}
-	n.snapshot = Snapshot{Index: i, Term: t, Voters: n.votersAt(i), Data: data}
+	n.snapshot = Snapshot{Index: i, Term: t, Voters: n.votersAt(i).encode(), Data: data}
 	if i > trailing {
 		n.log.compactUpTo(i - trailing)
 	}
@@ -344,14 +393,14 @@
 	return n.snapshot, true
 }
 
-func (n *Node) votersAt(i Index) []NodeID {
-	voters := n.voterSets[0].voters
+func (n *Node) votersAt(i Index) voterSet {
+	set := n.voterSets[0]
 	for _, s := range n.voterSets {
 		if s.index <= i {
-			voters = s.voters
+			set = s
 		}
 	}
-	return voters
+	return set
 }
 
 // dropVoterSetsBefore drops all sets of voters that are older than the one in
@@ -426,6 +475,27 @@
 	}
 }
 
+// Resign makes a leader a follower, as StepDown does, and tells the other voters not to wait
+// for it. The voter with the newest log holds an election first.
+func (n *Node) Resign() {
+	if n.role != Leader {
+		return
+	}
+	next := n.ID
+	for _, id := range n.Voters() {
+		p := n.progress[id]
+		if p != nil && (next == n.ID || p.matchIndex > n.progress[next].matchIndex) {
+			next = id
+		}
+	}
+	for _, id := range n.voterSet().members() {
+		if id != n.ID {
+			n.send(Message{Kind: Resignation, To: id, Reject: id != next})
+		}
+	}
+	n.becomeFollower(n.hardState.Term, "")
+}
+
 func (n *Node) resetElectionTimer() {
 	n.elapsedTicks = 0
 	n.electionTimeout = n.ElectionTicks + n.Rand.IntN(n.ElectionTicks)
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -82,6 +82,12 @@
 		}
 	case "join":
 		c.add(ids[0], nil)
+	case "learners":
+		c.voters[c.leader()].node.SetLearners(ids)
+	case "resign":
+		leader := c.leader()
+		c.voters[leader].node.Resign()
+		c.processOutput(leader)
 	case "remove":
 		delete(c.voters, ids[0])
 	default:
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -39,6 +39,21 @@
 		n.handleAppendReply(m)
 	case InstallSnapshot:
 		n.handleInstallSnapshot(m)
+	case Resignation:
+		n.handleResignation(m)
+	}
+}
+
+// handleResignation lets the voter that is to follow the leader hold an election, once the
+// others know too that the leader has stepped down.
+func (n *Node) handleResignation(m Message) {
+	if n.role != Follower || n.leader != m.From {
+		return
+	}
+	n.leader = ""
+	n.resetElectionTimer()
+	if !m.Reject {
+		n.electionTimeout = 1
 	}
 }
 
@@ -85,7 +100,7 @@
 		n.advanceElection()
 		return
 	}
-	for _, id := range n.Voters() {
+	for _, id := range n.voterSet().members() {
 		if id == n.ID {
 			continue
 		}
@@ -125,7 +140,7 @@
 	if n.role != as || m.Reject || m.Term != requestedTerm {
 		return
 	}
-	if !slices.Contains(n.Voters(), m.From) {
+	if !n.voterSet().contains(m.From) {
 		return
 	}
 	n.votes[m.From] = true
@@ -135,17 +150,10 @@
 }
 
 func (n *Node) hasEnoughVotes() bool {
-	count, lost := 0, 0
-	for _, id := range n.Voters() {
-		switch {
-		case n.votes[id]:
-			count++
-		case n.lost[id]:
-			lost++
-		}
-	}
-	mayHold := !n.earlyPreVote || count+lost == len(n.Voters()) || n.wouldHaveHeardLeader()
-	return mayHold && count >= majority(len(n.Voters()))
+	set := n.voterSet()
+	isMissing := func(id NodeID) bool { return !n.votes[id] && !n.lost[id] }
+	mayHold := !n.earlyPreVote || !slices.ContainsFunc(set.members(), isMissing) || n.wouldHaveHeardLeader()
+	return mayHold && set.isQuorum(func(id NodeID) bool { return n.votes[id] })
 }
 
 func (n *Node) advanceElection() {
@@ -157,6 +165,7 @@
 	n.leader = n.ID
 	n.earlyTicksLeft = 0
 	n.elapsedTicks = 0
+	n.commitAtHeartbeat = n.commitIndex
 	n.progress = map[NodeID]*progress{}
 	n.updateProgress()
 	n.noOpIndex = n.log.lastIndex() + 1
@@ -164,10 +173,10 @@
 	n.broadcastAppend(true)
 }
 
-// broadcastAppend sends each voter the entries that it lacks. With heartbeat set,
-// voters that lack none get an empty Append.
+// broadcastAppend sends each voter and learner the entries that it lacks. With heartbeat
+// set, those that lack none get an empty Append.
 func (n *Node) broadcastAppend(heartbeat bool) {
-	for _, id := range n.Voters() {
+	for _, id := range n.followers() {
 		if p := n.progress[id]; p != nil {
 			n.sendAppend(id, p, heartbeat)
 		}
@@ -276,7 +285,8 @@
 	n.snapshot = *s
 	n.commitIndex, n.deliveredIndex, n.persistedIndex = s.Index, s.Index, s.Index
 	n.firstUnpersisted = 0
-	n.voterSets = []voterSet{{index: s.Index, voters: s.Voters}}
+	n.voterSets = nil
+	n.addVoterSet(newVoterSet(s.Index, s.Voters))
 	n.output.Snapshot = s
 	n.output.CommittedEntries = nil
 	n.send(Message{Kind: AppendReply, To: m.From, Index: s.Index})
@@ -303,12 +313,40 @@
 	n.sendAppend(m.From, p, false)
 }
 
-// advanceCommit moves the commit index to the newest entry that a majority has
-// persisted, if that entry is of the current term. A leader that is no longer a
-// voter steps down once the change that removed it is committed.
+// advanceCommit moves the commit index to the newest entry that a quorum has persisted,
+// if that entry is of the current term. It completes an exchange of voters that is
+// committed. A leader that is no longer a voter steps down once the change that removed
+// it is committed.
 func (n *Node) advanceCommit() {
+	set := n.voterSet()
+	i := n.persistedByMajority(set.voters)
+	if set.isJoint() {
+		i = min(i, n.persistedByMajority(set.previous))
+	}
+	t, ok := n.log.term(i)
+	if i <= n.commitIndex || !ok || t != n.hardState.Term {
+		return
+	}
+	n.commitIndex = i
+	n.broadcastAppend(true)
+	switch {
+	case set.index > n.commitIndex:
+	case set.isJoint():
+		// It cannot fail on a leader.
+		_, _, _ = n.propose(EntryVoters, encodeVoters(set.voters))
+	case !set.contains(n.ID):
+		n.Resign()
+	}
+}
+
+// persistedByMajority returns the newest entry that a majority of the voters has
+// persisted.
+func (n *Node) persistedByMajority(voters []NodeID) Index {
+	if len(voters) == 0 {
+		return 0
+	}
 	var persisted []Index
-	for _, id := range n.Voters() {
+	for _, id := range voters {
 		switch p := n.progress[id]; {
 		case id == n.ID:
 			persisted = append(persisted, n.persistedIndex)
@@ -318,18 +356,6 @@
 			persisted = append(persisted, 0)
 		}
 	}
-	if len(persisted) == 0 {
-		return
-	}
 	slices.Sort(persisted)
-	i := persisted[len(persisted)-majority(len(persisted))]
-	t, ok := n.log.term(i)
-	if i <= n.commitIndex || !ok || t != n.hardState.Term {
-		return
-	}
-	n.commitIndex = i
-	n.broadcastAppend(true)
-	if !slices.Contains(n.Voters(), n.ID) && n.commitIndex >= n.voterSets[len(n.voterSets)-1].index {
-		n.becomeFollower(n.hardState.Term, "")
-	}
+	return persisted[len(persisted)-majority(len(persisted))]
 }
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -8,8 +8,8 @@
 //
 // Elections start with a pre-vote round, so that a voter that returns from a
 // network partition does not force an election. A leader that does not hear
-// from a majority within one election timeout steps down. Voters are added and
-// removed one at a time, by entries of the log itself.
+// from a majority within one election timeout steps down. Voters are added, removed and
+// exchanged one at a time, by entries of the log itself.
 package replicator
 
 import "fmt"
@@ -59,6 +59,8 @@
 	Append
 	AppendReply
 	InstallSnapshot
+	// Resignation is the last message of a leader that has stepped down.
+	Resignation
 )
 
 // Message is sent from one voter to another.
@@ -70,7 +72,8 @@
 	// Index is the index of the entry before Entries in an Append, of the last
 	// log entry in a vote request, and of the highest matching entry in an
 	// AppendReply. In a rejecting AppendReply it is the highest index at which
-	// the two logs may still match. LogTerm is the term of the entry at Index,
+	// the two logs may still match. A Resignation rejects all voters but the one that
+	// is to hold an election first. LogTerm is the term of the entry at Index,
 	// Commit the commit index of a leader.
 	Index   Index
 	LogTerm Term
@@ -84,8 +87,9 @@
 // Snapshot is the state machine's state after applying every entry up to and
 // including Index.
 type Snapshot struct {
-	Index  Index
-	Term   Term
+	Index Index
+	Term  Term
+	// Voters holds the voters at Index, and marks those that an exchange adds and removes.
 	Voters []NodeID
 	Data   []byte
 }
