server: exchange the voter of a lost disk in one step

Operators had to remove the voter of a lost disk and then add the one on the new disk. In between a majority of fewer voters decided, and after the first call the VM did not count at all.

Change: `trefoilhead voter add` exchanges the one for the other. Removing first works as before.

TestDiskLost/exchanged: before, "remove entry-b-1 first: its old disk is still a voter".

--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -223,7 +223,8 @@
 	}), nil
 }
 
-// ChangeVoter adds or removes one voter in both logs. It succeeds only at a
+// ChangeVoter adds or removes one voter in both logs, or exchanges the voter of a lost disk for
+// the one on the new disk of the same VM. It succeeds only at a
 // process that leads both; any other returns an error that names the leader of a
 // log that it does not lead.
 func (o operatorHandler) ChangeVoter(ctx context.Context, req *connect.Request[trefoilheadv1.ChangeVoterRequest]) (*connect.Response[trefoilheadv1.ChangeVoterResponse], error) {
@@ -258,12 +259,9 @@
 		if slices.Contains(current, id) {
 			return current, nil
 		}
-		if len(voters) != len(current) {
-			return nil, connect.NewError(connect.CodeFailedPrecondition, Error.New("remove %s first: its old disk is still a voter", vm))
-		}
+		// If the VM has lost its disk, this exchanges its old voter for the new one.
 		voters = append(voters, id)
-	}
-	if len(voters) == len(current) {
+	} else if len(voters) == len(current) {
 		return current, nil
 	}
 	if err := d.ProposeVoters(ctx, voters); err != nil {
