coordinator: exchange voters that are gone, at any moment that allows the next loss

Cause: a successor was added beside the voter that it succeeds, and that one removed by a timer, 10 s or 3 s after its last hello.

Change: the number of voters is fixed by the declared losses, the other live processes are learners, and one joint change exchanges a voter that is lost, stops, is silent, or has a successor in its failure domain. No voter is removed without a replacement.

Why this works: a quorum never grows by a loss, a change needs no vote of the newcomer, and a sound voter makes way only while all voters are heard.

--- a/cmd/trefoilhead/node.go
+++ b/cmd/trefoilhead/node.go
@@ -115,7 +115,17 @@
 	c.ControlHandler = platform.NewControlHandler(c, l)
 	c.Init()
 	go watchSettings(ctx, source, configurer.RoleCore, l, c.AddSeeds)
-	return c.Run(ctx)
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		select {
+		case <-ctx.Done():
+			c.Leave()
+			stop()
+		case <-runCtx.Done():
+		}
+	}()
+	return c.Run(runCtx)
 }
 
 // watchSettings applies the settings that may change while a process runs, whenever
--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -73,6 +73,9 @@
 	// server to ColdOvershoot times the rate plus ColdSlack requests a second.
 	ColdOvershoot float64 `yaml:"cold_overshoot" json:"cold_overshoot"`
 	ColdSlack     float64 `yaml:"cold_slack" json:"cold_slack"`
+	// ToleratedVMLosses is the number of VMs with a core process that may be lost at the same
+	// time. 0 means as many as the core processes that the system began with can bear.
+	ToleratedVMLosses int `yaml:"tolerated_vm_losses" json:"tolerated_vm_losses"`
 }
 
 // HeartbeatInterval returns HeartbeatIntervalMS as a duration.
@@ -182,6 +185,7 @@
 		{"grace_s", b.ShutdownGraceS}, {"retry_ratio", b.RetryRatio},
 		{"retry_window_s", b.RetryWindowS}, {"retry_slack", b.RetrySlack},
 		{"cold_overshoot", b.ColdOvershoot}, {"cold_slack", b.ColdSlack},
+		{"tolerated_vm_losses", float64(b.ToleratedVMLosses)},
 	} {
 		if v.value < 0 {
 			d.AddFinding([]string{"bounds", v.name}, "%s (%g) must not be negative", v.name, v.value)
--- a/internal/coordinator/confirm.go
+++ b/internal/coordinator/confirm.go
@@ -73,25 +73,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	replies := make(chan bool, len(st.Voters))
-	for _, v := range st.Voters {
-		vm := driver.VMOf(v)
-		if vm == c.self {
-			replies <- true
-			continue
-		}
-		go func() { replies <- c.peerFollowsSelf(ctx, vm, st.Term) }()
+	members := st.Members()
+	replies := make(chan replicator.NodeID, len(members))
+	for _, v := range members {
+		go func() {
+			if vm := driver.VMOf(v); vm != c.self && !c.peerFollowsSelf(ctx, vm, st.Term) {
+				v = ""
+			}
+			replies <- v
+		}()
 	}
-	confirmed, quorum := 0, len(st.Voters)/2+1
-	for range st.Voters {
-		if <-replies {
-			confirmed++
-		}
-		if confirmed >= quorum {
+	confirmed := map[replicator.NodeID]bool{}
+	isConfirmed := func(v replicator.NodeID) bool { return confirmed[v] }
+	hasQuorum := false
+	for range members {
+		confirmed[<-replies] = true
+		hasQuorum = replicator.IsQuorum(st.Voters, st.PreviousVoters, isConfirmed)
+		if hasQuorum {
 			break
 		}
 	}
-	if now := c.driver.Status(); confirmed < quorum || now.Term != st.Term || !now.CommittedInTerm {
+	if now := c.driver.Status(); !hasQuorum || now.Term != st.Term || !now.CommittedInTerm {
 		return false
 	}
 	k := &c.confirmation
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -153,6 +153,11 @@
 	unreported   map[identifier.Server]bool
 	reportUrgent bool
 	peers        map[identifier.VM]*peer
+	// leaving is set by Leave. votersDue wakes votersLoop.
+	leaving   bool
+	votersDue chan struct{}
+	// votersMu is held from the planning of a change of voters to its end.
+	votersMu sync.Mutex
 	// helloEvidenceCursor tells which evidence the next hello carries.
 	helloEvidenceCursor differ.Cursor
 	fronts              map[identifier.VM]*front
@@ -196,6 +201,7 @@
 	c.changed = make(chan struct{})
 	c.unreported = map[identifier.Server]bool{}
 	c.peers = map[identifier.VM]*peer{}
+	c.votersDue = make(chan struct{}, 1)
 	c.fronts = map[identifier.VM]*front{}
 	c.census.init(set.Bounds.RetryWindow())
 	c.placement.grouper.Policy = grouper.Policy{HeartbeatInterval: set.Bounds.HeartbeatInterval()}
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -38,6 +38,13 @@
 	startedAt time.Time
 	// retryBudget is the retry budget in the settings; the zero value stands for the default.
 	retryBudget emulator.RetryRule
+	// toleratedLosses is the number of tolerated losses in the settings.
+	toleratedLosses int
+	// domains holds the failure domains of core processes that do not have one of their own.
+	domains map[string]identifier.FailureDomain
+	// lastVersion is the version that was sent last in tests of losses, acknowledged the newest
+	// one that was acknowledged.
+	lastVersion, acknowledged cataloger.Version
 	// mu guards cores and fronts in tests that start and end processes beside requests.
 	mu        sync.Mutex
 	cores     map[string]*coreHost
@@ -70,10 +77,7 @@
 func runInSystem(t *testing.T, test func(s *system)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &system{
-			t: t, net: piper.New(), folder: t.TempDir(), startedAt: time.Now(),
-			cores: map[string]*coreHost{}, fronts: map[string]*frontHost{},
-		}
+		s := newSystem(t)
 		for _, c := range initialCores {
 			s.seeds = append(s.seeds, c+":8")
 		}
@@ -85,6 +89,13 @@
 	})
 }
 
+func newSystem(t *testing.T) *system {
+	return &system{
+		t: t, net: piper.New(), folder: t.TempDir(), startedAt: time.Now(), lastVersion: 1, acknowledged: 1,
+		cores: map[string]*coreHost{}, fronts: map[string]*frontHost{}, domains: map[string]identifier.FailureDomain{},
+	}
+}
+
 func (s *system) stopAll() {
 	for name := range s.fronts {
 		s.killFront(name)
@@ -104,7 +115,10 @@
 		ControlAddress: name + ":8", PeerAddress: name + ":7", CallersAddress: name + ":80", ReadinessAddress: name + ":81",
 		Seeds: s.seeds,
 	}
-	set.Bounds.MaxRevocationDelayMS = 5000
+	if d := s.domains[name]; d != "" {
+		set.FailureDomain = d
+	}
+	set.Bounds.MaxRevocationDelayMS, set.Bounds.ToleratedVMLosses = 5000, s.toleratedLosses
 	set.Bounds.RetryRatio, set.Bounds.RetrySlack, set.Bounds.RetryWindowS = s.retryBudget.Ratio, s.retryBudget.Slack, s.retryBudget.Window.Seconds()
 	set.FillDefaults()
 	return set
@@ -325,15 +339,19 @@
 // checks the version.
 func (s *system) expectVersion(name string, v cataloger.Version) {
 	s.t.Helper()
-	var got []byte
-	var err error
+	got, err := s.readCatalog(name)
+	if err != nil || string(got) != string(catalog(v)) {
+		s.t.Errorf("%s reads %q, %v; want version %d", name, got, err, v)
+	}
+}
+
+// readCatalog returns the catalog of a process once it confirms that it is current.
+func (s *system) readCatalog(name string) (data []byte, err error) {
 	for range 20 {
-		got, err = s.cores[name].core.CurrentCatalog(context.Background())
+		data, err = s.cores[name].core.CurrentCatalog(context.Background())
 		if err == nil {
 			break
 		}
 	}
-	if err != nil || string(got) != string(catalog(v)) {
-		s.t.Errorf("%s reads %q, %v; want version %d", name, got, err, v)
-	}
+	return data, err
 }
