coordinator, tracker: departures without a start time end no life for good

Cause: a departure that a cut had held came after its sender had given up and started again under the same id. It names no start, so it ended the life that the process knew; heartbeats of that life were dropped from then on, and fronts kept the state for good.

Evidence: the log of the core process has `backend server announced its departure` at the end of the cut, 5 and 6 s after the caller had closed, for an id that had registered with a later start.

Change: such a departure waits 100 ms and is dropped if its caller has gone; a process that does not know the server refuses it. What it ends is presumed to be gone: five heartbeats over 30 s take it back, counted in the state of the server, which orders it before the start time at all core processes and fronts. The same for servers superseded at their address and for a clock that stepped back.

Why this works: bytes that were held come with the end of their connection, and nobody was told that they count. A heartbeat may be late, but a server that leaves ends within seconds.

TestRunningServerIsUsedAgain fails in its first case without the series of heartbeats. The list of JSON fields of a server in two tests has the two new ones.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -410,7 +410,7 @@
 	c.mu.Lock()
 	before := c.registry.Get(s.ID)
 	departs := s.Draining && (before == nil || before.Incarnation != s.Incarnation || !before.Draining)
-	c.updateServer(s)
+	c.updateServer(s, c.registry.Announce)
 	c.unreported[s.ID] = true
 	c.mu.Unlock()
 	if departs {
@@ -444,23 +444,25 @@
 	wg.Wait()
 }
 
-// updateServer records an announcement that came from the backend server itself
-// or from another core process. The caller must hold mu.
-func (c *Coordinator) updateServer(s tracker.Server) {
+// updateServer records an announcement of a backend server by store: Announce if it came from
+// the server itself, Apply if it came from another core process. The caller must hold mu.
+func (c *Coordinator) updateServer(s tracker.Server, store func(tracker.Server) bool) {
 	before := c.registry.Get(s.ID)
 	var old tracker.Server
 	if before != nil {
 		old = *before
 	}
-	if !c.registry.Apply(s) {
+	if !store(s) {
 		return
 	}
+	s = *c.registry.Get(s.ID)
 	c.reportUrgent = true
 	c.notifyChanged()
 	if old.Membership != s.Membership || old.Draining != s.Draining || old.Leaving != s.Leaving || old.Incarnation != s.Incarnation || old.Silent || s.Gone {
 		_ = level.Info(c.Logger).Log("msg", "backend server changed", "server", s.ID, "service", s.Service,
 			"address", s.Address, "group", s.Membership.Group, "rank", s.Membership.Rank, "state", s.Membership.State,
-			"draining", s.Draining, "leaving", s.Leaving, "gone", s.Gone, "was_silent", old.Silent, "new_life", old.Incarnation != s.Incarnation)
+			"draining", s.Draining, "leaving", s.Leaving, "gone", s.Gone, "was_silent", old.Silent, "new_life", old.Incarnation != s.Incarnation,
+			"reinstated", old.Reinstatements < s.Reinstatements)
 	}
 }
 
@@ -478,13 +480,49 @@
 	}
 }
 
+// Errors of HandleLeave. The departure has no effect at this process.
+var (
+	// ErrCallerGone means that the caller does not wait any more.
+	ErrCallerGone = errs.New("the caller does not wait for the acknowledgement")
+	// ErrUnknownServer means that this process cannot tell which incarnation leaves. Another one
+	// may know.
+	ErrUnknownServer = errs.New("the server is not known and the call names no start time")
+)
+
+// departureSettleTime is how long a departure waits that names no start time. It is longer than a
+// round trip, so that a caller that had closed its connection before is known to have.
+const departureSettleTime = 100 * time.Millisecond
+
 // HandleLeave records that a backend server announced that it is leaving, and returns once the
 // other core processes know.
-// incarnation is its start time, as in tracker.Server, or 0 if it sent none.
-func (c *Coordinator) HandleLeave(ctx context.Context, id identifier.Server, incarnation uint64) {
+// incarnation is its start time, as in tracker.Server, or 0 if it sent none. Then the
+// incarnation that this process knows leaves, if the caller waits for the acknowledgement: a call
+// that has come late, after its caller gave up, may be that of an earlier one.
+func (c *Coordinator) HandleLeave(ctx context.Context, id identifier.Server, incarnation uint64) error {
+	err := c.decideLeave(ctx, id, incarnation)
+	if err != nil {
+		_ = level.Info(c.Logger).Log("msg", "a departure is not heeded", "server", id, "start_time", incarnation, "err", err)
+	}
+	return err
+}
+
+func (c *Coordinator) decideLeave(ctx context.Context, id identifier.Server, incarnation uint64) error {
+	if incarnation == 0 {
+		sleep(ctx, departureSettleTime)
+		c.mu.Lock()
+		known := c.registry.Get(id)
+		c.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+			return ErrCallerGone
+		case known == nil:
+			return ErrUnknownServer
+		}
+	}
 	if c.recordLeave(id, incarnation) {
 		c.shareDeparture(ctx, id)
 	}
+	return nil
 }
 
 // recordLeave reports whether the departure was not known.
@@ -494,7 +532,7 @@
 	if !c.registry.MarkGone(time.Now(), id, incarnation) {
 		return false
 	}
-	_ = level.Info(c.Logger).Log("msg", "backend server announced its departure", "server", id)
+	_ = level.Info(c.Logger).Log("msg", "backend server announced its departure", "server", id, "start_time", incarnation)
 	c.unreported[id] = true
 	c.reportUrgent = true
 	c.notifyChanged()
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -82,7 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range r.GetServers() {
-		c.updateServer(encoder.DecodeServer(now, s))
+		c.updateServer(encoder.DecodeServer(now, s), c.registry.Apply)
 	}
 }
 
--- a/internal/encoder/server.go
+++ b/internal/encoder/server.go
@@ -17,7 +17,7 @@
 		BornMs: s.Incarnation, Sequence: s.Sequence, Staged: s.StagedModels, Models: s.LoadedModels, Gone: s.Gone, Silent: s.Silent,
 		HeardAgoMs: uint64(max(now.Sub(s.LastHeartbeatAt), 0).Milliseconds()),
 		ColdMs:     uint64(max(s.ColdUntil.Sub(now), 0).Milliseconds()),
-		Leaving:    s.Leaving,
+		Leaving:    s.Leaving, GonePresumed: s.GonePresumed, Reinstatements: s.Reinstatements,
 	}
 	if m := s.Membership; m != (tracker.Membership{}) {
 		out.Membership = &peerv1.Membership{
@@ -36,6 +36,7 @@
 		SoftwareVersion: in.GetSoftwareVersion(), Slots: int(in.GetSlots()), Draining: in.GetDraining(), Incarnation: in.GetBornMs(),
 		Sequence: in.GetSequence(), StagedModels: in.GetStaged(), LoadedModels: in.GetModels(), Gone: in.GetGone(), Silent: in.GetSilent(),
 		LastHeartbeatAt: now.Add(-milliseconds(in.GetHeardAgoMs())), Leaving: in.GetLeaving(),
+		GonePresumed: in.GetGonePresumed(), Reinstatements: in.GetReinstatements(),
 	}
 	if in.GetColdMs() > 0 {
 		s.ColdUntil = now.Add(milliseconds(in.GetColdMs()))
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -77,6 +77,12 @@
 	// Gone is set once the server has announced that it leaves for good, after which
 	// it may still serve requests for a while, or once it is superseded.
 	Gone bool
+	// GonePresumed is set if Gone follows from a message that names no incarnation, or from one of
+	// another server. Heartbeats that go on take it back.
+	GonePresumed bool
+	// Reinstatements is how often heartbeats have taken back that the server is gone or has started
+	// anew. It orders states of a server before Incarnation does.
+	Reinstatements uint32
 	// Superseded is set once another server with a later start time has announced the
 	// same address, so that the process of this one must have ended.
 	Superseded bool `json:"Dead"`
@@ -120,7 +126,7 @@
 	return cold && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain &&
 		s.Fabric == o.Fabric && s.SoftwareVersion == o.SoftwareVersion && s.Slots == o.Slots &&
 		s.Draining == o.Draining && s.Leaving == o.Leaving && s.Incarnation == o.Incarnation && s.Membership == o.Membership &&
-		s.Gone == o.Gone && slices.Equal(s.StagedModels, o.StagedModels) && slices.Equal(s.LoadedModels, o.LoadedModels)
+		s.Gone == o.Gone && s.Reinstatements == o.Reinstatements && slices.Equal(s.StagedModels, o.StagedModels) && slices.Equal(s.LoadedModels, o.LoadedModels)
 }
 
 // Registry holds the known backend servers. The zero value is an empty registry
@@ -138,6 +144,8 @@
 type entry struct {
 	server   Server
 	revision uint64
+	// contender is an incarnation that goes on to send heartbeats though it counts as ended.
+	contender contender
 }
 
 // entryRetention is how long a server is kept after its last heartbeat, so that
@@ -186,9 +194,23 @@
 	return out
 }
 
-// Apply stores an announcement, and reports whether it changed more than the
-// sequence and the time. It drops an announcement that is older than the known
-// state.
+// Announce stores an announcement that the server itself has sent. It does the same as Apply,
+// and takes back that an incarnation has ended if it goes on to announce itself.
+func (g *Registry) Announce(s Server) (changed bool) {
+	e := g.servers[s.ID]
+	if e == nil {
+		return g.Apply(s)
+	}
+	s.Reinstatements = e.server.Reinstatements
+	if g.isContended(&e.server, &s) && e.contender.announce(&s) {
+		s.Reinstatements++
+	}
+	return g.Apply(s)
+}
+
+// Apply stores the state of a server as it or another process announced it, and reports whether
+// that changed more than the sequence and the time. It drops a state that is older than the
+// known one.
 func (g *Registry) Apply(s Server) (changed bool) {
 	e := g.servers[s.ID]
 	if e == nil {
@@ -201,6 +223,16 @@
 		return true
 	}
 	old := &e.server
+	switch {
+	case s.Reinstatements < old.Reinstatements:
+		return false
+	case s.Reinstatements > old.Reinstatements:
+		s.Silent = false
+		*old, e.contender = s, contender{}
+		g.markChanged(e)
+		g.markSuperseded(&s)
+		return true
+	}
 	departed := false
 	if s.Incarnation == old.Incarnation {
 		departed = s.Leaving && !old.Leaving
@@ -216,6 +248,7 @@
 	if s.Incarnation == old.Incarnation && s.Sequence < old.Sequence {
 		// The process that recorded the departure knows less of the server than this one.
 		changed = departed || !old.Gone
+		old.GonePresumed = s.GonePresumed && (old.GonePresumed || !old.Gone)
 		old.Gone, old.Leaving = true, s.Leaving
 		if changed {
 			g.markChanged(e)
@@ -274,6 +307,7 @@
 	for _, e := range g.servers {
 		o := &e.server
 		if o.ID != s.ID && o.Address == s.Address && !o.Superseded && o.Incarnation < s.Incarnation {
+			o.GonePresumed = o.GonePresumed || !o.Gone
 			o.Gone, o.Superseded = true, true
 			g.markChanged(e)
 		}
@@ -286,17 +320,24 @@
 }
 
 // MarkGone records that a server has announced that it leaves for good. If the
-// announcement did not name an incarnation, incarnation is 0. A server that is not
-// known is added as gone.
+// announcement did not name an incarnation, incarnation is 0, and the incarnation that is
+// known is presumed to be gone. A server that is not known is added as gone if the
+// announcement named an incarnation.
 func (g *Registry) MarkGone(now time.Time, id identifier.Server, incarnation uint64) (changed bool) {
 	e := g.servers[id]
-	if e == nil {
+	switch {
+	case e == nil && incarnation == 0:
+		return false
+	case e == nil:
 		return g.Apply(Server{ID: id, Incarnation: incarnation, Gone: true, LastHeartbeatAt: now})
+	case incarnation != 0 && incarnation < e.server.Incarnation:
+		return false
 	}
-	if e.server.Gone || incarnation != 0 && incarnation < e.server.Incarnation {
+	presumed := incarnation == 0
+	if e.server.Gone && (presumed || !e.server.GonePresumed) {
 		return false
 	}
-	e.server.Gone = true
+	e.server.Gone, e.server.GonePresumed = true, presumed
 	e.server.LastHeartbeatAt = now
 	g.markChanged(e)
 	return true
@@ -330,10 +371,10 @@
 	}
 	if e := g.servers[s.ID]; e != nil {
 		old := &e.server
-		if s.Incarnation < old.Incarnation {
+		if s.Reinstatements < old.Reinstatements || s.Reinstatements == old.Reinstatements && s.Incarnation < old.Incarnation {
 			return
 		}
-		if s.Incarnation == old.Incarnation {
+		if s.Reinstatements == old.Reinstatements && s.Incarnation == old.Incarnation {
 			leaving, gone := s.Leaving || old.Leaving, s.Gone || old.Gone
 			if s.Sequence < old.Sequence || old.Gone && !s.Gone {
 				if leaving == old.Leaving && gone == old.Gone {
