verifier: answers with a status that HTTP does not have are failures

An entry of `serve` followed redirects of servers: a caller got the answer of whatever the server named.

Cause: the library's parser takes any three characters that are a number, and nobody checked. The library's client follows redirects unless it is told not to.

Change: one package decides which heads may be used, for answers, orders, loads and other entries. 200 to 599 in three digits end a request, 100 to 199 but 101 are skipped, the rest is a failure after which the request may have run. Clients follow no redirects.

Before: TestStatusThatIsNoneIsNoAnswer fails for each status; TestStatusThatIsNoneIsRefused for 000, 099, +99 and 101; TestRedirectIsPassedOn for 301 to 303. TestAnswersWithoutEndAreCutOff (eight kinds of bytes without end, `serve`) passed before as well.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -18,6 +18,7 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/isolator"
 	"trefoilhead.org/trefoilhead/internal/pooler"
+	"trefoilhead.org/trefoilhead/internal/verifier"
 )
 
 // sendResult is what is known about a request after an attempt to send it to one
@@ -251,9 +252,12 @@
 		if err != nil {
 			return x.fail(err)
 		}
-		if resp.StatusCode < http.StatusOK {
+		if verifier.IsInterim(resp) {
 			continue
 		}
+		if err := verifier.CheckFinal(resp); err != nil {
+			return x.fail(err)
+		}
 		x.resp, x.respInfo = resp, q.f.Dialect.ParseResponse(resp.Header)
 		if x.respInfo.RequestID == q.info.ID || x.isRefusalWithoutID() {
 			break
--- a/internal/relayer/measure_test.go
+++ b/internal/relayer/measure_test.go
@@ -24,6 +24,7 @@
 	"trefoilhead.org/trefoilhead/internal/refuser"
 	"trefoilhead.org/trefoilhead/internal/router"
 	"trefoilhead.org/trefoilhead/internal/timekeeper"
+	"trefoilhead.org/trefoilhead/internal/verifier"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 )
 
@@ -67,7 +68,7 @@
 		Id: "chat/d/1.1", Service: "chat", Address: address, Serving: true, Owner: "e", FirstOwner: true,
 		Concurrency: 1 << 20, ColdConcurrency: 1 << 20, Members: []string{"v"}, Limit: 1 << 20,
 	}}})
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+	client := verifier.NewClient(&http.Transport{MaxIdleConnsPerHost: 1024, MaxResponseHeaderBytes: 64 << 10})
 	limits := Limits{MaxQueueWait: time.Minute, FirstTokenTimeout: time.Minute, InterTokenTimeout: time.Minute, MaxQueueLength: 1 << 20, MaxBodyBytes: 1 << 20}
 	t := &Relayer{
 		VM: "e", Locator: l, Limits: limits, CheckReady: func() *refuser.Refusal { return nil },
--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -13,6 +13,7 @@
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/placer"
 	"trefoilhead.org/trefoilhead/internal/recorder"
+	"trefoilhead.org/trefoilhead/internal/verifier"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
 	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1"
 	"trefoilhead.org/trefoilhead/pkg/wire/trefoilheadv1/trefoilheadv1connect"
@@ -68,10 +69,8 @@
 		MaxOrderLifetime: s.Settings.Timing.MaxOrderLifetime, MaxLoadingVMs: s.Settings.Limits.MaxLoadingVMs,
 		LearningPeriod: s.Settings.Timing.SilenceTimeout + 2*s.Settings.Timing.HeartbeatInterval,
 	}}
-	s.authority.engineClient = &http.Client{
-		Transport: newTransport(s.Network, s.tls),
-		Timeout:   s.Settings.Timing.SilenceTimeout,
-	}
+	s.authority.engineClient = verifier.NewClient(newTransport(s.Network, s.tls))
+	s.authority.engineClient.Timeout = s.Settings.Timing.SilenceTimeout
 }
 
 // stepPlacement runs one step of the placer and sends its orders, if this process
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"trefoilhead.org/trefoilhead/internal/configurer"
+	"trefoilhead.org/trefoilhead/internal/verifier"
 )
 
 // Error is the class of every error of this package.
@@ -177,7 +178,7 @@
 	}
 	t.DisableKeepAlives = true
 	t.MaxResponseHeaderBytes = maxBackendHeaderBytes
-	return &http.Client{Transport: t}
+	return verifier.NewClient(t)
 }
 
 // DialBackend opens a connection to a backend server without TCP_USER_TIMEOUT: the kernel would
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -34,6 +34,7 @@
 	"trefoilhead.org/trefoilhead/internal/router"
 	"trefoilhead.org/trefoilhead/internal/throttler"
 	"trefoilhead.org/trefoilhead/internal/timekeeper"
+	"trefoilhead.org/trefoilhead/internal/verifier"
 )
 
 // Names of the replicated logs.
@@ -179,7 +180,7 @@
 		MaxQueueLength: cfg.Limits.MaxQueueLength, MaxStoredResponseBytes: cfg.Limits.MaxStoredResponseBytes, MaxBodyBytes: cfg.Limits.MaxBodyBytes,
 		ClaimRetention: cfg.Timing.ClaimRetention, HalfLimitTime: cfg.Timing.HalfLimitTime,
 	}
-	client := &http.Client{Transport: newTransport(dialer, s.tls)}
+	client := verifier.NewClient(newTransport(dialer, s.tls))
 	s.relayer = &relayer.Relayer{
 		VM: cfg.VM, Locator: s.locator, Limits: limits, ClaimsLog: claimRunner{s}, CheckReady: s.checkReady,
 		Entries: len(cfg.Peers), Elapsed: s.Elapsed, OnCrash: s.logCrash,
