relayer: refuse an answer that breaks off before its first byte

Cause: the head was written before any of the body was there, so all that was left was to close the connection.

Change: the head is written with the first data, or at the end of an empty body. Before that the caller gets 502, which says that the request may have run; so does an entry that relays for another.

--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -6,12 +6,15 @@
 	"crypto/subtle"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/refuser"
 	"trefoilhead.org/trefoilhead/internal/router"
@@ -201,13 +204,24 @@
 		return
 	}
 	w.Header().Set(headerIsResponse, "1")
-	if err := copyResponse(w, resp); err != nil {
+	err := copyResponse(w, resp)
+	if errors.Is(err, errNothingWritten) {
+		w.Header().Del(headerIsResponse)
+		brokenOff().Write(w)
+		return
+	}
+	if err != nil {
 		// Aborting the connection tells the other entry that the response is
 		// incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// brokenOff returns the refusal in place of a response that broke off before its first byte.
+func brokenOff() *refuser.Refusal {
+	return refuser.New(refuser.BackendFailed, refuser.MayHaveRun, "the backend server failed before the first byte of its answer").WithRetryAfter(time.Second)
+}
+
 // PeerRequestCount returns the number of requests from other entries that this entry serves now,
 // whether it owns their groups or relays them to the owners.
 func (t *Relayer) PeerRequestCount() int { return int(t.peerRequests.Load()) }
@@ -233,20 +247,27 @@
 	return req
 }
 
-// copyResponse writes a response to w as its data arrives, and closes its body.
+// errNothingWritten means that a response ended before anything of it was passed on, so that
+// the receiver can still get another response.
+var errNothingWritten = errs.New("the response broke off before its first byte")
+
+// copyResponse writes a response to w as its data arrives, and closes its body. The header is
+// written with the first data, since a response that breaks off before can be replaced.
 func copyResponse(w http.ResponseWriter, resp *Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	for name, values := range resp.Header {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(resp.Status)
 	rc := http.NewResponseController(w)
 	// The connection may be reused for another request, to which this deadline must
 	// not apply.
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	buf := make([]byte, copyBufferBytes)
+	wroteHeader := false
 	for {
 		n, err := resp.Body.Read(buf)
+		if !wroteHeader && (n > 0 || err == io.EOF) {
+			maps.Copy(w.Header(), resp.Header)
+			w.WriteHeader(resp.Status)
+			wroteHeader = true
+		}
 		if n > 0 {
 			_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, werr := w.Write(buf[:n]); werr != nil {
@@ -254,10 +275,12 @@
 			}
 			_ = rc.Flush()
 		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF:
 			return nil
-		}
-		if err != nil {
+		case err != nil && !wroteHeader:
+			return errs.Combine(errNothingWritten, err)
+		case err != nil:
 			return err
 		}
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -367,6 +368,10 @@
 		return
 	}
 	t.updateStats(func(s *Stats) { s.Incomplete++ })
+	if errors.Is(err, errNothingWritten) {
+		t.writeRefusal(w, brokenOff())
+		return
+	}
 	// Aborting the connection before the final chunk tells the caller that the
 	// response is incomplete.
 	panic(http.ErrAbortHandler)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -68,8 +68,8 @@
 	if err == nil && !scanner.found {
 		err = errNoEndMark
 	}
-	if err == nil {
-		return nil
+	if err == nil || errors.Is(err, errNothingWritten) {
+		return err
 	}
 	refusal := refuser.New(refuser.AnswerIncomplete, refuser.MayHaveRun, "the answer broke off; what came before is only its beginning")
 	event := append([]byte("\n\ndata: "), refusal.JSON()...)
