tracker: a service that the configuration does not name says nothing about servers

Cause: an announcement with a later start at an address was proof that the server there had ended, whatever its service.

Change: only announcements for services that the configuration names supersede others; they are looked at again when the configuration changes. Under the id of a server of the system they are dropped.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -198,6 +198,7 @@
 	c.limits.allocator.Rand = rand.New(rand.NewPCG(c.Seed, addressHash+2))
 	c.limits.allocator.Issuer = throttler.IssuerID(c.registryID)
 	c.registry.SilenceTimeout = time.Duration(SilenceTimeoutHeartbeats * float64(set.Bounds.HeartbeatInterval()))
+	c.registry.IsNamed = func(s identifier.Service) bool { return c.catalog != nil && c.catalog.Service(s) != nil }
 	c.changed = make(chan struct{})
 	c.unreported = map[identifier.Server]bool{}
 	c.peers = map[identifier.VM]*peer{}
@@ -369,6 +370,7 @@
 			_ = level.Error(c.Logger).Log("msg", "cannot decode the catalog in force", "version", state.Version, "err", err)
 		} else {
 			c.catalog = cat
+			c.registry.RecheckAddresses()
 			_ = level.Info(c.Logger).Log("msg", "catalog in force", "version", state.Version, "routes", len(cat.Routes),
 				"teams", len(cat.Teams))
 		}
--- a/internal/tracker/contender.go
+++ b/internal/tracker/contender.go
@@ -53,7 +53,7 @@
 func (g *Registry) isSucceeded(s *Server) bool {
 	for _, e := range g.servers {
 		o := &e.server
-		if o.ID != s.ID && o.Address == s.Address && o.Incarnation > s.Incarnation && !o.Gone && !o.Silent {
+		if o.ID != s.ID && o.Address == s.Address && o.Incarnation > s.Incarnation && !o.Gone && !o.Silent && g.isNamed(o.Service) {
 			return true
 		}
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -135,6 +135,10 @@
 	// SilenceTimeout is the time without a heartbeat after which a server counts as
 	// silent.
 	SilenceTimeout time.Duration
+	// IsNamed reports whether the configuration names a service; nil means that it names all.
+	// What announces itself for another service is not a server of the system, and its address
+	// says nothing about the servers that are.
+	IsNamed func(identifier.Service) bool
 
 	servers  map[identifier.Server]*entry
 	revision uint64
@@ -198,8 +202,12 @@
 // and takes back that an incarnation has ended if it goes on to announce itself.
 func (g *Registry) Announce(s Server) (changed bool) {
 	e := g.servers[s.ID]
-	if e == nil {
+	switch {
+	case e == nil:
 		return g.Apply(s)
+	case g.isNamed(e.server.Service) && !g.isNamed(s.Service):
+		// A program that is no server of the system has the id of one.
+		return false
 	}
 	s.Reinstatements = e.server.Reinstatements
 	if g.isContended(&e.server, &s) && e.contender.announce(&s) {
@@ -301,7 +309,7 @@
 // markSuperseded marks other servers at the address of s that started before s as
 // gone and superseded.
 func (g *Registry) markSuperseded(s *Server) {
-	if s.Gone || s.Address == "" {
+	if s.Gone || s.Address == "" || !g.isNamed(s.Service) {
 		return
 	}
 	for _, e := range g.servers {
@@ -314,6 +322,27 @@
 	}
 }
 
+func (g *Registry) isNamed(service identifier.Service) bool {
+	return g.IsNamed == nil || g.IsNamed(service)
+}
+
+// RecheckAddresses marks the servers that are superseded at their address, after IsNamed has
+// changed.
+func (g *Registry) RecheckAddresses() {
+	newest := map[string]*Server{}
+	for _, e := range g.servers {
+		s := &e.server
+		if !s.Gone && g.isNamed(s.Service) && (newest[s.Address] == nil || newest[s.Address].Incarnation < s.Incarnation) {
+			newest[s.Address] = s
+		}
+	}
+	for _, e := range g.servers {
+		if n := newest[e.server.Address]; n != nil && n.ID != e.server.ID && n.Incarnation > e.server.Incarnation && !e.server.Superseded {
+			g.markSuperseded(n)
+		}
+	}
+}
+
 func (g *Registry) markChanged(e *entry) {
 	g.revision++
 	e.revision = g.revision
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -91,6 +91,29 @@
 	}
 }
 
+// TestForeignServiceSupersedesNobody guards against a head that counts as ended, and whose members join
+// other groups, because a program that is no server of the system has announced its address.
+func TestForeignServiceSupersedesNobody(t *testing.T) {
+	named := map[identifier.Service]bool{"llm": true}
+	g := &Registry{SilenceTimeout: time.Second, IsNamed: func(s identifier.Service) bool { return named[s] }}
+	g.Apply(newServer("a", 10, 5))
+	foreign := newServer("b", 20, 1)
+	foreign.Address, foreign.Service = "a:1", "node-exporter"
+	g.Apply(foreign)
+	g.RecheckAddresses()
+	sameID := newServer("a", 30, 1)
+	sameID.Service = "node-exporter"
+	g.Announce(sameID)
+	if a := g.Get("a"); !a.Usable() || a.Incarnation != 10 {
+		t.Errorf("a service that nobody names has made the server %+v", a)
+	}
+	named["node-exporter"] = true
+	g.RecheckAddresses()
+	if a := g.Get("a"); !a.Gone || !a.Superseded || !g.Get("b").Usable() {
+		t.Errorf("once the service is named, the servers are %+v and %+v", a, g.Get("b"))
+	}
+}
+
 func TestServersBecomeSilent(t *testing.T) {
 	g := &Registry{SilenceTimeout: 3 * time.Second}
 	g.Apply(newServer("a", 10, 5))
