forwarder: bound what all requests keep of their bodies and answers

Cause: each body was read whole before anything was decided, and copied for each send; nothing bounded the sum.

Change: a budget of three tenths of memory_mb for bodies and the beginnings of answers together. A body that does not fit is refused at once, 503 with Retry-After, and the rest of it is read and dropped, so that the caller gets the refusal. An answer that does not fit is passed on as it comes. Bodies over 16 KiB are not copied.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -234,15 +234,16 @@
 		q.lastError = "server responded with " + x.resp.Status
 		return resultMayHaveRun
 	}
+	limit := q.reserveAnswer(x.resp.ContentLength)
 	var data []byte
 	var err error
-	q.unlocked(func() { data, err = io.ReadAll(io.LimitReader(plainBody{x}, maxBufferedResponse)) })
+	q.unlocked(func() { data, err = io.ReadAll(io.LimitReader(plainBody{x}, limit)) })
 	if err != nil || x.attempt.superseded {
 		return x.breakOff(err)
 	}
 	a.goOnWith(x.attempt)
 	x.pin()
-	if x.resp.ContentLength < 0 && len(data) < maxBufferedResponse && q.r.Method != http.MethodHead {
+	if x.resp.ContentLength < 0 && int64(len(data)) < limit && q.r.Method != http.MethodHead {
 		// With a length, callers of every version of HTTP see whether the body is whole.
 		x.resp.ContentLength = int64(len(data))
 	}
@@ -251,7 +252,7 @@
 	x.beginWrite()
 	_, err = caller.Write(data)
 	x.endWrite()
-	complete := len(data) < maxBufferedResponse
+	complete := int64(len(data)) < limit
 	if err == nil && !complete {
 		q.unlocked(func() { _, err = io.Copy(waitingWriter{x, caller}, plainBody{x}) })
 		complete = err == nil
@@ -270,6 +271,19 @@
 	return a.end(x.resp.StatusCode, outcomeCut)
 }
 
+// reserveAnswer returns how much of an answer is kept before any of it is passed on: less than
+// maxBufferedResponse if memory is short. length is its Content-Length, or negative.
+func (q *request) reserveAnswer(length int64) int64 {
+	size := int64(maxBufferedResponse)
+	if length >= 0 {
+		size = min(size, length+1)
+	}
+	if size <= minBufferedResponse || q.memory.Grow(size) {
+		return size
+	}
+	return minBufferedResponse
+}
+
 // plainBody is the body of an answer that is no event stream. Its server is not silent while bytes come.
 type plainBody struct{ x *exchange }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -90,6 +90,9 @@
 	// maxResponseHeaderBytes limits the header of a response, with the informational
 	// responses before it.
 	maxResponseHeaderBytes = 64 << 10
+	// maxJoinedBody is the size of the longest body that is copied to be written together with
+	// the header.
+	maxJoinedBody = 16 << 10
 	// maxSkippedBytes and maxSkipTime limit how much of an unused response is read so
 	// that its connection can be reused.
 	maxSkippedBytes = 64 << 10
@@ -225,7 +228,10 @@
 		Priority: q.priority(), RunsEngine: q.engine != nil,
 	})
 	var b bytes.Buffer
-	b.Grow(len(q.body) + 1024)
+	isSplit := len(q.body) > maxJoinedBody
+	if !isSplit {
+		b.Grow(len(q.body) + 1024)
+	}
 	b.WriteString(q.r.Method + " " + q.r.RequestURI + " HTTP/1.1\r\nHost: " + q.r.Host + "\r\n")
 	if len(q.body) > 0 || q.r.Method != http.MethodGet && q.r.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n")
@@ -234,9 +240,16 @@
 		return err
 	}
 	b.WriteString("\r\n")
-	b.Write(q.body)
+	if !isSplit {
+		b.Write(q.body)
+	}
 	var err error
-	q.unlocked(func() { _, err = x.conn.Write(b.Bytes()) })
+	q.unlocked(func() {
+		_, err = x.conn.Write(b.Bytes())
+		if err == nil && isSplit {
+			_, err = x.conn.Write(q.body)
+		}
+	})
 	return err
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/identifier"
@@ -102,6 +103,13 @@
 	// maxBufferedResponse is how much of a response is buffered before any of it is
 	// forwarded. If the connection breaks within that, the request can be retried.
 	maxBufferedResponse = 1 << 20
+	// minBufferedResponse is the same while memory is short.
+	minBufferedResponse = 16 << 10
+	// memoryRetryAfter is the Retry-After of a request whose body does not fit into memory. Bodies
+	// that are being sent take some seconds.
+	memoryRetryAfter = 2 * time.Second
+	// outcomeMemoryShort is the outcome of such a request.
+	outcomeMemoryShort = "memory_short"
 	// dialTimeout bounds connecting to a backend server. It allows for many round
 	// trips within a region, and is far shorter than a route's objective, so that
 	// another server can still respond in time.
@@ -143,6 +151,8 @@
 	// Metrics is where the metrics are registered. If nil, Init creates a registry
 	// that is not exposed.
 	Metrics metrics.Registry
+	// Memory bounds what all requests keep of their bodies and answers.
+	Memory budgeter.Budget
 
 	catalog atomic.Pointer[cataloger.Catalog]
 	// confirmedAt is the Elapsed time at which a quorum last confirmed the catalog;
@@ -219,6 +229,7 @@
 	metrics.NewRegisteredFunctionalGauge("isolations", f.Metrics, f.isolationCount)
 	metrics.NewRegisteredFunctionalGauge("crash_evidence", f.Metrics, f.evidenceCount)
 	metrics.NewRegisteredFunctionalGauge("retry_budget_used_percent", f.Metrics, f.retryBudgetUse)
+	metrics.NewRegisteredFunctionalGauge("request_memory_bytes", f.Metrics, f.Memory.Used)
 	metrics.NewRegisteredFunctionalGauge("servers_withheld", f.Metrics, f.withheldCount)
 	metrics.NewRegisteredFunctionalGauge("server_limits", f.Metrics, f.limitCount)
 	metrics.NewRegisteredFunctionalGauge("server_limit_named_ago_ms", f.Metrics, f.oldestLimitAge)
@@ -306,6 +317,8 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{f: f, w: w, r: r, receivedAt: time.Now(), info: f.Dialect.ParseRequest(r.Header), open: map[*exchange]struct{}{}}
+	q.memory.Budget = &f.Memory
+	defer q.memory.Release()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if f.keepAlivesDisabled.Load() {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/identifier"
@@ -34,6 +35,8 @@
 	// ctx ends with the caller's connection, at the deadline, and by cancel.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// memory is what this request keeps of its body and answer.
+	memory budgeter.Account
 	// stage holds a value of type stage.
 	stage   atomic.Int32
 	info    RequestInfo
@@ -179,9 +182,16 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
-	data, err := io.ReadAll(body)
+	data, reserved, err := q.memory.ReadAll(body, q.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case !reserved:
+		q.respondError(http.StatusServiceUnavailable, outcomeMemoryShort, memoryRetryAfter)
+		// Closing the connection while the caller still sends would reset it, and the refusal
+		// would be lost. An error means that the caller has gone or is too slow.
+		_ = http.NewResponseController(q.w).Flush()
+		_, _ = io.Copy(io.Discard, body)
+		return false
 	case errors.As(err, &tooLarge):
 		q.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	case err != nil && q.f.ending.Load():
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -23,6 +23,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
 	"trefoilhead.org/trefoilhead/internal/configurer"
@@ -44,7 +45,10 @@
 // Timing of a front.
 const (
 	poolExpiryInterval = 100 * time.Millisecond
-	linkPingInterval   = 500 * time.Millisecond
+	// requestMemoryFraction is the fraction of the VM's memory that bodies and answers may take.
+	// Until the next collection as much again may be garbage.
+	requestMemoryFraction = 0.3
+	linkPingInterval      = 500 * time.Millisecond
 	// linkSilenceTimeout is how long a link to a core process may be silent before it
 	// is closed. It is also the time to read the headers of an operator's or the load
 	// balancer's request.
@@ -189,6 +193,7 @@
 		Dialect: f.Dialect, Pool: &f.pool, Logger: f.Logger, Elapsed: f.Elapsed, MaxRevocationDelay: b.MaxRevocationDelay(),
 		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow(),
 		IsFirstRun: set.FirstStart, Metrics: f.Metrics, Self: f.self,
+		Memory: budgeter.Budget{Limit: int64(requestMemoryFraction * float64(set.MemoryMB<<20))},
 	}
 	f.forwarder.Init(&chooser.Chooser{
 		Domain: set.FailureDomain, Rand: rand.New(rand.NewPCG(f.Seed, addressHash+1)), StartedAt: time.Now(),
