verifier: bound the responses to orders

A server that responds to orders with bytes without end could fill the memory of the process that placed groups: 14 MB were taken of each endless head on the platform's interface, where many orders are under way, and on `serve` the body of a response was read until the call's timeout, whatever its size.

Cause: the library's limit of a head is 10 MB, and the RPC library reads a body to its end.

--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -69,7 +69,7 @@
 		MaxOrderLifetime: s.Settings.Timing.MaxOrderLifetime, MaxLoadingVMs: s.Settings.Limits.MaxLoadingVMs,
 		LearningPeriod: s.Settings.Timing.SilenceTimeout + 2*s.Settings.Timing.HeartbeatInterval,
 	}}
-	s.authority.engineClient = verifier.NewClient(newTransport(s.Network, s.tls))
+	s.authority.engineClient = verifier.NewLimitedClient(newTransport(s.Network, s.tls), maxEngineResponseBytes)
 	s.authority.engineClient.Timeout = s.Settings.Timing.SilenceTimeout
 }
 
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -67,6 +67,13 @@
 // other end has been unreachable for about the silence timeout.
 func NewNetwork(silence time.Duration) Network { return tcpNetwork{newDialer(silence)} }
 
+// Limits of the responses that this process reads as a client.
+const (
+	maxResponseHeaderBytes = 64 << 10
+	// maxEngineResponseBytes limits the response of a backend server to an order.
+	maxEngineResponseBytes = 256 << 10
+)
+
 func newTransport(d Network, c *credentials) *http.Transport {
 	const (
 		maxIdlePerHost  = 256
@@ -74,7 +81,7 @@
 	)
 	return &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout,
-		DisableCompression: true, TLSClientConfig: c.clientConfig(),
+		DisableCompression: true, TLSClientConfig: c.clientConfig(), MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
@@ -165,9 +172,6 @@
 	return plain + "s"
 }
 
-// maxBackendHeaderBytes limits the header of a backend server's response.
-const maxBackendHeaderBytes = 64 << 10
-
 // newBackendClient returns the client for requests to backend servers. Each request has a
 // connection of its own: responses name no request, so a second copy of one that arrives
 // late on a reused connection would be taken for the response to the next request.
@@ -177,7 +181,6 @@
 		return DialBackend(ctx, d, network, address)
 	}
 	t.DisableKeepAlives = true
-	t.MaxResponseHeaderBytes = maxBackendHeaderBytes
 	return verifier.NewClient(t)
 }
 
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -7,6 +7,7 @@
 package verifier
 
 import (
+	"io"
 	"net/http"
 	"strings"
 
@@ -42,7 +43,11 @@
 
 // Transport returns the responses of another RoundTripper, but an error for each one that
 // CheckFinal does not accept.
-type Transport struct{ Base http.RoundTripper }
+type Transport struct {
+	Base http.RoundTripper
+	// MaxBodyBytes is the size of the longest body that is read; 0 means no limit.
+	MaxBodyBytes int64
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -54,14 +59,47 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	if t.MaxBodyBytes > 0 {
+		resp.Body = &limitedBody{ReadCloser: resp.Body, left: t.MaxBodyBytes}
+	}
 	return resp, nil
 }
 
+// limitedBody is a body that ends with an error once it is too long. Nothing more of it is read
+// then, even to keep its connection.
+type limitedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return 0, Error.New("the body is too long")
+	}
+	if int64(len(p)) > b.left+1 {
+		p = p[:b.left+1]
+	}
+	n, err := b.ReadCloser.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return n, errs.Combine(Error.New("the body is too long"), b.Close())
+	}
+	return n, err
+}
+
 // NewClient returns a client that accepts only final responses and follows no redirects: where
 // a request goes is not for the server to say that answers it.
-func NewClient(base http.RoundTripper) *http.Client {
+func NewClient(base http.RoundTripper) *http.Client { return newClient(Transport{Base: base}) }
+
+// NewLimitedClient returns the same for responses that are read whole, of maxBodyBytes at most.
+func NewLimitedClient(base http.RoundTripper, maxBodyBytes int64) *http.Client {
+	return newClient(Transport{Base: base, MaxBodyBytes: maxBodyBytes})
+}
+
+func newClient(t Transport) *http.Client {
 	return &http.Client{
-		Transport:     Transport{base},
+		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
