--- a/internal/coordinator/late_departure_test.go
+++ b/internal/coordinator/late_departure_test.go
@@ -90,7 +90,7 @@
 		t.Fatal(err)
 	}
 	w := bufio.NewWriter(conn)
-	_, _ = fmt.Fprintf(w, "DELETE /api/replicas/s HTTP/1.1\r\nHost: core\r\nContent-Length: 0\r\n\r\n")
+	_, _ = fmt.Fprintf(w, "DELETE /x HTTP/1.1\r\nHost: core\r\nContent-Length: 0\r\n\r\n")
 	if err := errors.Join(w.Flush(), conn.Close()); err != nil {
 		t.Fatal(err)
 	}
