coordinator, replicator: departures, leaving and progress in files of their own

Moved without a change: who votes and how a process leaves, departures of servers, and a leader's view of the others were each part of a file with other jobs.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -402,10 +402,6 @@
 	}
 }
 
-// departureShareTimeout bounds how long the acknowledgement of a departure waits for the other core
-// processes. The server waits for a second.
-const departureShareTimeout = 300 * time.Millisecond
-
 // HandleAnnouncement records what a backend server announced to this process,
 // and queues it for the other core processes. It returns once they know of a departure.
 func (c *Coordinator) HandleAnnouncement(ctx context.Context, s tracker.Server) {
@@ -420,32 +416,6 @@
 	}
 }
 
-// shareDeparture tells the live core processes that a server leaves, and waits until they have
-// replied. A departure is announced once, so it must not be lost with this process.
-func (c *Coordinator) shareDeparture(ctx context.Context, id identifier.Server) {
-	ctx, cancel := context.WithTimeout(ctx, departureShareTimeout)
-	defer cancel()
-	now := time.Now()
-	c.mu.Lock()
-	s := c.registry.Get(id)
-	if s == nil {
-		c.mu.Unlock()
-		return
-	}
-	state, peers := encoder.EncodeServer(now, s), c.livePeers(now)
-	c.mu.Unlock()
-	var wg sync.WaitGroup
-	for _, vm := range peers {
-		wg.Go(func() {
-			report := &peerv1.Envelope{ServerReports: &peerv1.ServerReports{Servers: []*peerv1.ServerState{state}}}
-			if _, err := c.linker.Call(ctx, vm, report); err != nil {
-				_ = level.Info(c.Logger).Log("msg", "a core process was not told of a departure before it is acknowledged", "server", id, "peer", vm, "err", err)
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // updateServer records an announcement of a backend server by store: Announce if it came from
 // the server itself, Apply if it came from another core process. The caller must hold mu.
 func (c *Coordinator) updateServer(s tracker.Server, store func(tracker.Server) bool) {
@@ -468,79 +438,6 @@
 	}
 }
 
-// recordDepartures records what servers have said in answers to a front. The caller must hold mu.
-func (c *Coordinator) recordDepartures(from identifier.VM, departures []*peerv1.Departure) {
-	for _, d := range departures {
-		id := identifier.Server(d.GetId())
-		if !c.registry.MarkLeaving(id, d.GetBornMs()) {
-			continue
-		}
-		_ = level.Info(c.Logger).Log("msg", "backend server has said in an answer that it leaves", "server", id, "front", from)
-		c.unreported[id] = true
-		c.reportUrgent = true
-		c.notifyChanged()
-	}
-}
-
-// Errors of HandleLeave. The departure has no effect at this process.
-var (
-	// ErrCallerGone means that the caller does not wait any more.
-	ErrCallerGone = errs.New("the caller does not wait for the acknowledgement")
-	// ErrUnknownServer means that this process cannot tell which incarnation leaves. Another one
-	// may know.
-	ErrUnknownServer = errs.New("the server is not known and the call names no start time")
-)
-
-// departureSettleTime is how long a departure waits that names no start time. It is longer than a
-// round trip, so that a caller that had closed its connection before is known to have.
-const departureSettleTime = 100 * time.Millisecond
-
-// HandleLeave records that a backend server announced that it is leaving, and returns once the
-// other core processes know.
-// incarnation is its start time, as in tracker.Server, or 0 if it sent none. Then the
-// incarnation that this process knows leaves, if the caller waits for the acknowledgement: a call
-// that has come late, after its caller gave up, may be that of an earlier one.
-func (c *Coordinator) HandleLeave(ctx context.Context, id identifier.Server, incarnation uint64) error {
-	err := c.decideLeave(ctx, id, incarnation)
-	if err != nil {
-		_ = level.Info(c.Logger).Log("msg", "a departure is not heeded", "server", id, "start_time", incarnation, "err", err)
-	}
-	return err
-}
-
-func (c *Coordinator) decideLeave(ctx context.Context, id identifier.Server, incarnation uint64) error {
-	if incarnation == 0 {
-		sleep(ctx, departureSettleTime)
-		c.mu.Lock()
-		known := c.registry.Get(id)
-		c.mu.Unlock()
-		switch {
-		case ctx.Err() != nil:
-			return ErrCallerGone
-		case known == nil:
-			return ErrUnknownServer
-		}
-	}
-	if c.recordLeave(id, incarnation) {
-		c.shareDeparture(ctx, id)
-	}
-	return nil
-}
-
-// recordLeave reports whether the departure was not known.
-func (c *Coordinator) recordLeave(id identifier.Server, incarnation uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.registry.MarkGone(time.Now(), id, incarnation) {
-		return false
-	}
-	_ = level.Info(c.Logger).Log("msg", "backend server announced its departure", "server", id, "start_time", incarnation)
-	c.unreported[id] = true
-	c.reportUrgent = true
-	c.notifyChanged()
-	return true
-}
-
 func (c *Coordinator) hasUrgentReports() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
