coordinator: one function joins ids for the log

joinVoters, new with the exchange of voters, did for voters what joinServers does for servers. One generic function does both; log lines are as before.

--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -80,7 +80,7 @@
 	orders, decisions := p.grouper.Step(now, c.grouperView(now))
 	for _, d := range decisions {
 		_ = level.Info(c.Logger).Log("msg", d.Message, "group", d.Group.ID, "model", d.Group.Model, "fabric", d.Group.Fabric,
-			"members", joinServers(d.Group.Members), "phase", d.Group.Phase, "reason", d.Group.Reason)
+			"members", joinIDs(d.Group.Members), "phase", d.Group.Phase, "reason", d.Group.Reason)
 	}
 	if now.Sub(p.lastSurveyAt) >= surveyInterval {
 		p.lastSurveyAt = now
@@ -196,7 +196,7 @@
 	}
 }
 
-func joinServers(ids []identifier.Server) string {
+func joinIDs[ID ~string](ids []ID) string {
 	out := ""
 	for i, id := range ids {
 		if i > 0 {
--- a/internal/coordinator/voters.go
+++ b/internal/coordinator/voters.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	err := c.driver.ProposeVoters(ctx, next)
 	_ = level.Info(c.Logger).Log("msg", "proposed a new set of voters for the log", "reason", reason,
-		"voters", joinVoters(next), "before", joinVoters(st.Voters), "err", err)
+		"voters", joinIDs(next), "before", joinIDs(st.Voters), "err", err)
 	return true
 }
 
@@ -76,17 +76,6 @@
 	}
 }
 
-func joinVoters(ids []replicator.NodeID) string {
-	text := ""
-	for i, id := range ids {
-		if i > 0 {
-			text += ","
-		}
-		text += string(id)
-	}
-	return text
-}
-
 // isNewcomer reports whether this process has joined a log that others had begun, and has
 // not been a voter since. The caller must hold mu.
 func (c *Coordinator) isNewcomer(st *driver.Status) bool {
