configurer: the memory of an entry is a setting

Callers saw: nothing yet. An entry of serve had no memory_mb, so nothing could bound its memory, and no test could lower it. Change: limits.memory_mb sets the runtime's limit, as for fronts and core processes; the default stays without one.

--- a/cmd/trefoilhead/serve.go
+++ b/cmd/trefoilhead/serve.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -48,6 +49,9 @@
 	if logLevel != "" {
 		cfg.Logs.Level = logLevel
 	}
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryLimitShare))
+	}
 	logger := newLogger(cfg.Logs.Level)
 	now := time.Now()
 	s := &server.Server{
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -116,6 +116,8 @@
 	MaxBodyBytes           int64 `yaml:"body_bytes" json:"body_bytes"`
 	MaxQueueLength         int   `yaml:"queue_length" json:"queue_length"`
 	MaxStoredResponseBytes int   `yaml:"answer_bytes" json:"answer_bytes"`
+	// MemoryMB is the memory that the process may use, in MiB; 0 means that of the VM.
+	MemoryMB int `yaml:"memory_mb" json:"memory_mb"`
 	// MaxLoadingVMs is the number of VMs of one failure domain that may load model
 	// weights from the store at the same time.
 	MaxLoadingVMs int `yaml:"max_loading" json:"max_loading"`
