budgeter, forwarder: reserve bytes as they come, reclaim those of clients that are behind

Callers saw: 503 memory_short for all, for as long as a crowd of callers stopped just short of the end of their bodies and stayed; a length that was only announced held as much as one that had come.

Cause: the budget was a counter. Nothing told who held it, for how long or whether bytes still came, and a body reserved its whole announced length before the first byte. An answer without a length reserved 1 MiB likewise. What a refused caller still sent was read without a bound in bytes.

A reclaimed request is refused with 503 and Retry-After, and has not run. The rest of a refused body is read for 5 s and 8 MiB at most.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -234,16 +234,16 @@
 		q.lastError = "server responded with " + x.resp.Status
 		return resultMayHaveRun
 	}
-	limit := q.reserveAnswer(x.resp.ContentLength)
 	var data []byte
+	var complete bool
 	var err error
-	q.unlocked(func() { data, err = io.ReadAll(io.LimitReader(plainBody{x}, limit)) })
+	q.unlocked(func() { data, complete, err = q.readAnswer(x) })
 	if err != nil || x.attempt.superseded {
 		return x.breakOff(err)
 	}
 	a.goOnWith(x.attempt)
 	x.pin()
-	if x.resp.ContentLength < 0 && int64(len(data)) < limit && q.r.Method != http.MethodHead {
+	if x.resp.ContentLength < 0 && complete && q.r.Method != http.MethodHead {
 		// With a length, callers of every version of HTTP see whether the body is whole.
 		x.resp.ContentLength = int64(len(data))
 	}
@@ -252,7 +252,6 @@
 	x.beginWrite()
 	_, err = caller.Write(data)
 	x.endWrite()
-	complete := int64(len(data)) < limit
 	if err == nil && !complete {
 		q.unlocked(func() { _, err = io.Copy(waitingWriter{x, caller}, plainBody{x}) })
 		complete = err == nil
@@ -271,17 +270,17 @@
 	return a.end(x.resp.StatusCode, outcomeCut)
 }
 
-// reserveAnswer returns how much of an answer is kept before any of it is passed on: less than
-// maxBufferedResponse if memory is short. length is its Content-Length, or negative.
-func (q *request) reserveAnswer(length int64) int64 {
-	size := int64(maxBufferedResponse)
-	if length >= 0 {
-		size = min(size, length+1)
+// readAnswer reads what is kept of an answer before any of it is passed on: maxBufferedResponse, or less if memory is
+// short. It reports whether that is the whole answer.
+func (q *request) readAnswer(x *exchange) (data []byte, complete bool, err error) {
+	body := plainBody{x}
+	data, complete, err = q.memory.ReadUpTo(body, x.resp.ContentLength, maxBufferedResponse)
+	if missing := minBufferedResponse - len(data); err == nil && !complete && missing > 0 {
+		var rest []byte
+		rest, err = io.ReadAll(io.LimitReader(body, int64(missing)))
+		data, complete = append(data, rest...), len(rest) < missing
 	}
-	if size <= minBufferedResponse || q.memory.Grow(size) {
-		return size
-	}
-	return minBufferedResponse
+	return data, complete, err
 }
 
 // plainBody is the body of an answer that is no event stream. Its server is not silent while bytes come.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -108,6 +108,9 @@
 	// memoryRetryAfter is the Retry-After of a request whose body does not fit into memory. Bodies
 	// that are being sent take some seconds.
 	memoryRetryAfter = 2 * time.Second
+	// drainTimeout and maxDrainBytes bound how long, and how much of, a body that is refused is read.
+	drainTimeout  = 5 * time.Second
+	maxDrainBytes = 8 << 20
 	// outcomeMemoryShort is the outcome of such a request.
 	outcomeMemoryShort = "memory_short"
 	// dialTimeout bounds connecting to a backend server. It allows for many round
@@ -230,6 +233,7 @@
 	metrics.NewRegisteredFunctionalGauge("crash_evidence", f.Metrics, f.evidenceCount)
 	metrics.NewRegisteredFunctionalGauge("retry_budget_used_percent", f.Metrics, f.retryBudgetUse)
 	metrics.NewRegisteredFunctionalGauge("request_memory_bytes", f.Metrics, f.Memory.Used)
+	metrics.NewRegisteredFunctionalGauge("request_memory_reclaimed_total", f.Metrics, f.Memory.Reclaimed)
 	metrics.NewRegisteredFunctionalGauge("servers_withheld", f.Metrics, f.withheldCount)
 	metrics.NewRegisteredFunctionalGauge("server_limits", f.Metrics, f.limitCount)
 	metrics.NewRegisteredFunctionalGauge("server_limit_named_ago_ms", f.Metrics, f.oldestLimitAge)
@@ -317,7 +321,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{f: f, w: w, r: r, receivedAt: time.Now(), info: f.Dialect.ParseRequest(r.Header), open: map[*exchange]struct{}{}}
-	q.memory.Budget = &f.Memory
+	q.memory = budgeter.FromContext(r.Context(), &f.Memory)
 	defer q.memory.Release()
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -35,8 +35,8 @@
 	// ctx ends with the caller's connection, at the deadline, and by cancel.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// memory is what this request keeps of its body and answer.
-	memory budgeter.Account
+	// memory is what this request keeps of its head, body and answer.
+	memory *budgeter.Account
 	// stage holds a value of type stage.
 	stage   atomic.Int32
 	info    RequestInfo
@@ -184,13 +184,17 @@
 	}
 	data, reserved, err := q.memory.ReadAll(body, q.r.ContentLength)
 	var tooLarge *http.MaxBytesError
+	wasReclaimed := q.memory.WasReclaimed()
 	switch {
+	case wasReclaimed:
+		q.memory.Release()
+		q.w.Header().Set("Connection", "close")
+		q.respondError(http.StatusServiceUnavailable, outcomeMemoryShort, memoryRetryAfter)
+		return false
 	case !reserved:
+		q.memory.Release()
 		q.respondError(http.StatusServiceUnavailable, outcomeMemoryShort, memoryRetryAfter)
-		// Closing the connection while the caller still sends would reset it, and the refusal
-		// would be lost. An error means that the caller has gone or is too slow.
-		_ = http.NewResponseController(q.w).Flush()
-		_, _ = io.Copy(io.Discard, body)
+		q.discard(body)
 		return false
 	case errors.As(err, &tooLarge):
 		q.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
@@ -208,6 +212,16 @@
 	return err == nil
 }
 
+// discard reads the rest of a body that has been refused. Closing the connection while the caller still sends would
+// reset it, and the refusal would be lost. It reads for drainTimeout and maxDrainBytes at most.
+func (q *request) discard(body io.Reader) {
+	rc := http.NewResponseController(q.w)
+	// Errors mean that the caller has gone or is too slow.
+	_ = rc.Flush()
+	_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.CopyN(io.Discard, body, maxDrainBytes)
+}
+
 // stripPort returns the value of a Host header without its port.
 func stripPort(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
