acceptor, fronter: bound heads as they come, connections, and what the kernel holds unread

Callers saw: a front that was killed for its memory (heads of 1 MB in short lines took 8 times their bytes, in any number), that had no descriptor left for its servers (4,500 idle connections), or that answered nobody for as long as a crowd of callers held the budget.

Cause: http.Server keeps up to 1 MiB of each head before a handler compares it with the catalog's limit, and nothing bounds the sum over connections: heads, goroutines and buffers, sockets, and receive queues, which grow up to 32 MiB each here. The listeners for readiness checks and metrics were the same.

Change: acceptor.Server counts between the socket and http.Server. Each byte of a head, and 128 for each line, is reserved while it comes; over the limit it gets 431, too slow 408, without room 503 with Retry-After. Connections are bounded by memory_mb and by the new max_descriptors, which defaults to the system's limit; a new one takes the place of one that never sent a byte, of a request that is behind, or of a kept one that has been idle longest. The time to read a refused client is bounded in bytes as well. A client that does not read an answer for as long as a connection may be idle is cut off. The memory limit of the runtime is 0.62 of memory_mb (0.7 before), so that all parts fit: TestPartsFitIntoMachine.

TestHeaderTimeout waited for the end of the connection without an answer; it now wants 408 within the same time, and then the end of the connection.

--- a/cmd/trefoilhead/node.go
+++ b/cmd/trefoilhead/node.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -30,11 +29,6 @@
 // within which any deployment requires such a failure to be detected.
 const connTimeout = time.Second
 
-// memoryLimitShare is the fraction of the VM's memory that is set as the memory limit
-// of the Go runtime, near which it collects garbage more often. The rest is for
-// stacks and memory held by the kernel.
-const memoryLimitShare = 0.7
-
 func newFrontCommand() *ffcli.Command {
 	return newNodeCommand("front", "run a front process on the platform", configurer.RoleFront, runFront)
 }
@@ -64,8 +58,8 @@
 			if *logLevel != "" {
 				cfg.Logs.Level = *logLevel
 			}
-			if cfg.MemoryMB > 0 {
-				debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryLimitShare))
+			if err := fillResources(&cfg.MemoryMB, &cfg.MaxDescriptors); err != nil {
+				return err
 			}
 			w := &logger.Writer{Out: os.Stdout}
 			defer w.Close()
--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -39,11 +39,14 @@
 	// set only when the whole system starts for the first time: the first placement
 	// authority then assumes that no replica group exists.
 	FirstStart bool `yaml:"first_start" json:"first_start"`
-	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
-	MemoryMB int         `yaml:"memory_mb" json:"memory_mb"`
-	Bounds   NodeBounds  `yaml:"bounds" json:"bounds"`
-	Logs     LogSettings `yaml:"logs" json:"logs"`
-	Tests    NodeTests   `yaml:"tests" json:"tests"`
+	// MemoryMB is the memory that the process may use, in MiB; 0 means that of the VM.
+	MemoryMB int `yaml:"memory_mb" json:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 means the limit that the system
+	// sets for it.
+	MaxDescriptors int         `yaml:"max_descriptors" json:"max_descriptors"`
+	Bounds         NodeBounds  `yaml:"bounds" json:"bounds"`
+	Logs           LogSettings `yaml:"logs" json:"logs"`
+	Tests          NodeTests   `yaml:"tests" json:"tests"`
 }
 
 // NodeTests holds faults that tests inject.
--- a/internal/fronter/abort_test.go
+++ b/internal/fronter/abort_test.go
@@ -24,10 +24,9 @@
 		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
 		_ = http.NewResponseController(w).Flush()
 		forwarder.AbortResponse(r)
-	}))
-	go func() {
-		_ = server.Serve(&limitedListener{Listener: l, limits: func() cataloger.Limits { return cataloger.Limits{} }})
-	}()
+	}), func() cataloger.Limits { return cataloger.Limits{} })
+	server.Init()
+	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/internal/fronter/callers_test.go
+++ b/internal/fronter/callers_test.go
@@ -29,10 +29,10 @@
 		}
 		limits := &atomic.Pointer[cataloger.Limits]{}
 		limits.Store(&cataloger.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
-		server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
-		go func() {
-			_ = server.Serve(&limitedListener{Listener: l, limits: func() cataloger.Limits { return *limits.Load() }})
-		}()
+		server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
+			func() cataloger.Limits { return *limits.Load() })
+		server.Init()
+		go func() { _ = server.Serve(l) }()
 		test(func() net.Conn {
 			c, err := piper.Host{Network: network, Name: "caller"}.DialContext(context.Background(), "tcp", "front:80")
 			if err != nil {
@@ -106,9 +106,16 @@
 		if isClosed(c) {
 			t.Fatal("a header within its time was cut off")
 		}
-		time.Sleep(200 * time.Millisecond)
-		if !isClosed(c) {
-			t.Error("a header that takes longer than the limit is still waited for")
+		// The read deadline that isClosed has set is not that of the answer.
+		_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusRequestTimeout {
+			t.Fatalf("a header that takes longer than the limit is still waited for: %v, %v", resp, err)
+		}
+		_ = resp.Body.Close()
+		_ = c.SetReadDeadline(time.Time{})
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			t.Error(err)
 		}
 	})
 }
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -23,6 +23,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 
+	"trefoilhead.org/trefoilhead/internal/acceptor"
 	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/chooser"
@@ -45,14 +46,13 @@
 // Timing of a front.
 const (
 	poolExpiryInterval = 100 * time.Millisecond
-	// requestMemoryFraction is the fraction of the VM's memory that bodies and answers may take.
-	// Until the next collection as much again may be garbage.
-	requestMemoryFraction = 0.3
-	linkPingInterval      = 500 * time.Millisecond
+	linkPingInterval   = 500 * time.Millisecond
 	// linkSilenceTimeout is how long a link to a core process may be silent before it
 	// is closed. It is also the time to read the headers of an operator's or the load
 	// balancer's request.
 	linkSilenceTimeout = 1500 * time.Millisecond
+	// smallHeadBytes bounds the heads of requests to listeners that few clients use.
+	smallHeadBytes = 16 << 10
 	// drainDelay is how long a front that is not ready any more still accepts
 	// connections during shutdown: the load balancer checks readiness once a second
 	// and stops sending connections after two failed checks.
@@ -193,7 +193,7 @@
 		Dialect: f.Dialect, Pool: &f.pool, Logger: f.Logger, Elapsed: f.Elapsed, MaxRevocationDelay: b.MaxRevocationDelay(),
 		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow(),
 		IsFirstRun: set.FirstStart, Metrics: f.Metrics, Self: f.self,
-		Memory: budgeter.Budget{Limit: int64(requestMemoryFraction * float64(set.MemoryMB<<20))},
+		Memory: budgeter.Budget{Limit: f.resources().RequestMemory()},
 	}
 	f.forwarder.Init(&chooser.Chooser{
 		Domain: set.FailureDomain, Rand: rand.New(rand.NewPCG(f.Seed, addressHash+1)), StartedAt: time.Now(),
@@ -201,6 +201,11 @@
 	})
 }
 
+// resources returns what this process may use.
+func (f *Front) resources() acceptor.Resources {
+	return acceptor.Resources{MemoryBytes: int64(f.Settings.MemoryMB) << 20, Descriptors: f.Settings.MaxDescriptors}
+}
+
 // peerCallRejecter is a linker.Handler that rejects every call: peers never call a
 // front.
 type peerCallRejecter struct{}
@@ -244,12 +249,14 @@
 		}
 	}
 	failed := make(chan error, 3)
-	readiness := &http.Server{Handler: f.ReadinessHandler, ReadHeaderTimeout: linkSilenceTimeout}
+	readiness := f.newSmallServer("readiness", f.ReadinessHandler)
 	defer func() { _ = readiness.Close() }()
 	go func() { failed <- readiness.Serve(readinessListener) }()
-	server := newCallerServer(&f.forwarder)
-	limited := &limitedListener{Listener: callerListener, limits: f.forwarder.ConnectionLimits}
-	go func() { failed <- server.Serve(limited) }()
+	server := newCallerServer(&f.forwarder, f.forwarder.ConnectionLimits)
+	server.MaxConnections = f.resources().ClientConnections(false)
+	server.Memory, server.Logger, server.Metrics = &f.forwarder.Memory, f.Logger, f.Metrics
+	server.Init()
+	go func() { failed <- server.Serve(callerListener) }()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer f.linker.Close()
@@ -257,18 +264,18 @@
 	wg.Go(func() { f.pullLoop(workCtx) })
 	wg.Go(func() { f.maintenanceLoop(workCtx) })
 	if metricsListener != nil {
-		metricsServer := &http.Server{Handler: exposer.NewHandler(f.Metrics, f.dump), ReadHeaderTimeout: linkSilenceTimeout}
+		metricsServer := f.newSmallServer("metrics", exposer.NewHandler(f.Metrics, f.dump))
 		defer func() { _ = metricsServer.Close() }()
 		go func() { failed <- metricsServer.Serve(metricsListener) }()
 	}
 	select {
 	case err := <-failed:
 		_ = level.Error(f.Logger).Log("msg", "a listener failed; front process stops", "err", err)
-		f.shutdown(server, limited)
+		f.shutdown(server, callerListener)
 		return Error.Wrap(err)
 	case <-ctx.Done():
 	}
-	f.shutdown(server, limited)
+	f.shutdown(server, callerListener)
 	return nil
 }
 
@@ -280,7 +287,7 @@
 // wait to be accepted are reset when it is closed. Requests that are left at the end get a
 // final answer. http.Server.Shutdown comes last, because the server drops the requests that
 // it reads from then on.
-func (f *Front) shutdown(server *http.Server, listener *limitedListener) {
+func (f *Front) shutdown(server *acceptor.Server, listener net.Listener) {
 	start := time.Now()
 	grace := f.Settings.Bounds.ShutdownGrace()
 	_ = level.Info(f.Logger).Log("msg", "front process stops", "grace", grace)
@@ -306,7 +313,6 @@
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		listener.ending.Store(true)
 		err = server.Close()
 	}
 	_ = level.Info(f.Logger).Log("msg", "front process has stopped", "took", time.Since(start), "err", err)
--- a/internal/fronter/linger_test.go
+++ b/internal/fronter/linger_test.go
@@ -25,10 +25,9 @@
 		time.Sleep(100 * time.Millisecond)
 		w.Header().Set("Connection", "close")
 		_, _ = io.WriteString(w, strings.Repeat("x", size))
-	}))
-	go func() {
-		_ = server.Serve(&limitedListener{Listener: l, limits: func() cataloger.Limits { return cataloger.Limits{} }})
-	}()
+	}), func() cataloger.Limits { return cataloger.Limits{} })
+	server.Init()
+	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
 	for name, more := range map[string]string{"a blank line": "\r\n", "another request": "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
