pooler, server: bound all connections to servers, and what they hold unread

Callers saw: nothing yet; found while adding up what a front may hold. Each server has a limit on connections, their sum had none, so callers who do not read their answers could take all descriptors through the connections to servers, and what servers had sent waited in receive queues of up to 32 MiB each.

Change: Pool.MaxConns bounds the sum; an idle connection to any server makes room, otherwise the request goes on as if that server's own limit were reached. The dialer sets the receive buffer before it connects.

--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -183,6 +183,7 @@
 		VM: f.self, PeerKey: coordinator.PeerKey, AllowUnlistedPeers: true, Scheme: "ws", Dialer: f.Network, Handler: peerCallRejecter{},
 		Logger: f.Logger, PingInterval: linkPingInterval, SilenceTimeout: linkSilenceTimeout, Compress: true,
 	}
+	f.pool.MaxConns = f.resources().ServerConnections()
 	f.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		if f.DialBackend != nil {
 			return f.DialBackend(ctx, "tcp", address)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -42,9 +42,13 @@
 // set before use.
 type Pool struct {
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// MaxConns is the bound on all connections; 0 means none.
+	MaxConns int
 
 	mu             sync.Mutex
 	connsByAddress map[string]*addressConns
+	// total is the number of open connections.
+	total int
 }
 
 type addressConns struct {
@@ -156,16 +160,37 @@
 		if len(a.idle) == 0 {
 			return false
 		}
-		c := a.idle[0]
-		a.idle = a.idle[1:]
-		c.closed = true
-		_ = c.Close()
-		a.open--
+		p.closeIdle(a)
+	}
+	if p.MaxConns > 0 && p.total >= p.MaxConns && !p.closeAnyIdle() {
+		return false
 	}
 	a.open++
+	p.total++
 	return true
 }
 
+// closeIdle closes the connection to an address that has been idle longest. The caller holds mu.
+func (p *Pool) closeIdle(a *addressConns) {
+	c := a.idle[0]
+	a.idle = a.idle[1:]
+	c.closed = true
+	_ = c.Close()
+	a.open--
+	p.total--
+}
+
+// closeAnyIdle closes an idle connection to any address, and reports whether there is one. The caller holds mu.
+func (p *Pool) closeAnyIdle() bool {
+	for _, a := range p.connsByAddress {
+		if len(a.idle) > 0 {
+			p.closeIdle(a)
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) releaseSlot(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -174,6 +199,7 @@
 		return
 	}
 	a.open--
+	p.total--
 	if a.open <= 0 && len(a.idle) == 0 {
 		delete(p.connsByAddress, address)
 	}
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,7 @@
 
 	"github.com/zeebo/errs"
 
+	"trefoilhead.org/trefoilhead/internal/acceptor"
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/verifier"
 )
@@ -25,7 +27,7 @@
 const tcpUserTimeoutOption = 18
 
 // newDialer returns a dialer whose connections are closed when the other end has
-// been unreachable for about the silence timeout.
+// been unreachable for about the silence timeout. What has arrived and not been read is bounded.
 func newDialer(silence time.Duration) *net.Dialer {
 	const probes = 3
 	return &net.Dialer{
@@ -33,7 +35,9 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: probes,
 		},
-		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, silence) },
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return errors.Join(setUserTimeout(c, silence), acceptor.SetWindow(c))
+		},
 	}
 }
 
