forwarder: count each request and the events that have not ended

Callers saw: a front over its memory limit while servers left events unfinished at many streams at once (600 streams with 250 KB each: over 128 MiB, TestFrontBearsClients/events_that_do_not_end before), or that served many small requests at once.

Cause: up to 256 KiB of an event were kept for each stream and not counted, nor were the goroutines and buffers of a request, some 32 KiB.

Change: 32 KiB are reserved when a request begins; without room it is refused at once with 503 and Retry-After. What is kept of an event beyond 16 KiB is reserved as it comes, twice its size, since its buffer grows by copies. A stream whose event stands still while memory is short is ended: cut if its caller has a part, otherwise 502, as a server may have run it. The server is not blamed.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -111,6 +111,9 @@
 	// drainTimeout and maxDrainBytes bound how long, and how much of, a body that is refused is read.
 	drainTimeout  = 5 * time.Second
 	maxDrainBytes = 8 << 20
+	// requestBytes is what a request takes besides its head, body and answer: goroutines, buffers and a full narrow
+	// receive buffer of the connection to its server.
+	requestBytes = 32 << 10
 	// outcomeMemoryShort is the outcome of such a request.
 	outcomeMemoryShort = "memory_short"
 	// dialTimeout bounds connecting to a backend server. It allows for many round
@@ -332,6 +335,10 @@
 	defer f.inFlight.Add(-1)
 	defer q.track()()
 	f.lastRequestAt.Store(int64(f.Elapsed()))
+	if !q.memory.Grow(requestBytes) {
+		q.respondError(http.StatusServiceUnavailable, outcomeMemoryShort, memoryRetryAfter)
+		return
+	}
 	if !q.validate() {
 		return
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -35,8 +35,10 @@
 	// ctx ends with the caller's connection, at the deadline, and by cancel.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// memory is what this request keeps of its head, body and answer.
-	memory *budgeter.Account
+	// memory is what this request keeps of its head, body and answer. memoryShort is set once it is given up since
+	// memory is short.
+	memory      *budgeter.Account
+	memoryShort atomic.Bool
 	// stage holds a value of type stage.
 	stage   atomic.Int32
 	info    RequestInfo
@@ -489,6 +491,8 @@
 	case q.r.Context().Err() != nil:
 		q.recordOutcome(0, outcomeCallerLeft)
 		AbortResponse(q.r)
+	case q.memoryShort.Load():
+		q.respondError(http.StatusBadGateway, outcomeMemoryShort, 0)
 	case q.f.ending.Load() && q.possibleRuns == 0:
 		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
 	case q.f.ending.Load():
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -94,6 +94,8 @@
 // proper end of the stream.
 func (a *answer) forwardEvents(x *exchange) error {
 	var events streamer.Splitter
+	var kept keptEvent
+	defer a.q.memory.EndAwait()
 	buf := make([]byte, streamBufferSize)
 	for {
 		var n int
@@ -110,6 +112,10 @@
 			if events.TooLong() {
 				return streamer.ErrEventTooLong
 			}
+			if !kept.keep(a.q, events.Buffered(), n) {
+				a.q.giveUpForMemory()
+				return errMemoryShort
+			}
 		}
 		if errors.Is(err, io.EOF) && events.Buffered() > 0 {
 			return io.ErrUnexpectedEOF
@@ -120,6 +126,40 @@
 	}
 }
 
+// errMemoryShort means that there is no room for an event that has not ended.
+var errMemoryShort = errors.New("memory is short")
+
+// minKeptEvent is the size up to which the beginning of an event is not counted.
+const minKeptEvent = 16 << 10
+
+// keptEvent is what a stream has reserved for an event that has not ended.
+type keptEvent struct{ reserved int64 }
+
+// keep reserves what is kept of an event, to which n bytes have been added, and reports whether that was possible.
+// Memory of events that stand still may be reclaimed.
+func (k *keptEvent) keep(q *request, size, n int) bool {
+	if size <= minKeptEvent {
+		q.memory.EndAwait()
+		return true
+	}
+	if int64(size) > k.reserved {
+		// The buffer of an event that grows is replaced by larger ones.
+		if !q.memory.Grow(2*int64(size) - k.reserved) {
+			return false
+		}
+		k.reserved = 2 * int64(size)
+	}
+	q.memory.Await(q.giveUpForMemory)
+	q.memory.Progress(n)
+	return true
+}
+
+// giveUpForMemory ends a request, since memory is short.
+func (q *request) giveUpForMemory() {
+	q.memoryShort.Store(true)
+	q.cancel()
+}
+
 // writeEvents writes the complete events that have arrived to the caller.
 func (a *answer) writeEvents(x *exchange, events *streamer.Splitter) error {
 	x.beginWrite()
