coordinator: bound heads, bodies and connections at all listeners

Callers saw: nothing of it, but a core process is reached by whoever reaches its control listener: heads of 1 MB, bodies of 4 MiB that stop short and idle connections took all its memory or descriptors.

Change: the listeners for control, peers and metrics are acceptor.Servers with one budget. Bodies of calls are read and reserved as they come, and three times their size while they are decoded. Links of peers count as connections, and are not closed for others.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -28,6 +28,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 
+	"trefoilhead.org/trefoilhead/internal/acceptor"
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/differ"
@@ -279,12 +281,18 @@
 	peerMux.Handle(linker.Path, c.linker)
 	failed := make(chan error, 4)
 	var wg sync.WaitGroup
+	resources := acceptor.Resources{MemoryBytes: int64(c.Settings.MemoryMB) << 20, Descriptors: c.Settings.MaxDescriptors}
+	memory := &budgeter.Budget{Limit: resources.RequestMemory()}
+	metrics.NewRegisteredFunctionalGauge("request_memory_bytes", c.Metrics, memory.Used)
+	metrics.NewRegisteredFunctionalGauge("request_memory_reclaimed_total", c.Metrics, memory.Reclaimed)
 	for _, l := range []struct {
-		address string
-		handler http.Handler
+		name, address string
+		handler       http.Handler
+		connections   int
 	}{
-		{c.Settings.PeerListenAddress, peerMux}, {c.Settings.ControlAddress, c.ControlHandler},
-		{c.Settings.MetricsAddress, exposer.NewHandler(c.Metrics, c.dump)},
+		{"peers", c.Settings.PeerListenAddress, peerMux, resources.ClientConnections(false) / 2},
+		{"control", c.Settings.ControlAddress, c.ControlHandler, resources.ClientConnections(false) / 2},
+		{"metrics", c.Settings.MetricsAddress, exposer.NewHandler(c.Metrics, c.dump), acceptor.SmallListenerConnections},
 	} {
 		if l.address == "" {
 			continue
@@ -293,7 +301,14 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		srv := &http.Server{Handler: l.handler, ReadHeaderTimeout: linkSilenceTimeout, IdleTimeout: controlIdleTimeout}
+		srv := &acceptor.Server{
+			Name: l.name, MaxConnections: l.connections, Memory: memory, Logger: c.Logger, Metrics: c.Metrics,
+			Limits: func() acceptor.Limits {
+				return acceptor.Limits{HeadBytes: controlHeadBytes, HeadTimeout: linkSilenceTimeout, IdleTimeout: controlIdleTimeout}
+			},
+		}
+		srv.Handler = srv.WithWholeBodies(l.handler, maxCallBytes)
+		srv.Init()
 		wg.Go(func() { failed <- srv.Serve(ln) })
 		defer func() { _ = srv.Close() }()
 	}
@@ -314,9 +329,14 @@
 	return Error.Wrap(err)
 }
 
-// controlIdleTimeout is how long a keep-alive connection to a listener of this
-// process may stay idle.
-const controlIdleTimeout = 30 * time.Second
+const (
+	// controlIdleTimeout is how long a keep-alive connection to a listener of this
+	// process may stay idle.
+	controlIdleTimeout = 30 * time.Second
+	// controlHeadBytes and maxCallBytes bound the head and the body of a call.
+	controlHeadBytes = 16 << 10
+	maxCallBytes     = 16 << 20
+)
 
 // runLoop runs the periodic work of the process every loopInterval, and applies
 // changes of the catalog state as they come.
