server, relayer: bound heads, bodies and connections of serve

Callers saw: an entry of serve that took 5 times its memory (100 bodies of 4 MiB but for the last byte: 579 MiB of 128), or all its descriptors (2,300 idle connections, also before a TLS handshake), and answered few.

Cause: heads up to 64 KiB and bodies up to body_bytes were kept for each connection, and nothing counted them together; a handshake that does not end had no bound on its sum either.

Bodies are reserved as they come, chat requests three times while they are decoded. New refusals, all not_run: memory_short (503), too_slow (408; it was 400 bad_request), head_too_large (431). Calls of operators and backend servers are read whole, 16 MiB at most, once their key is checked.

--- a/cmd/trefoilhead/serve.go
+++ b/cmd/trefoilhead/serve.go
@@ -5,7 +5,6 @@
 	"flag"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -49,8 +48,8 @@
 	if logLevel != "" {
 		cfg.Logs.Level = logLevel
 	}
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryLimitShare))
+	if err := fillResources(&cfg.Limits.MemoryMB, &cfg.Limits.MaxDescriptors); err != nil {
+		return err
 	}
 	logger := newLogger(cfg.Logs.Level)
 	now := time.Now()
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -118,6 +118,9 @@
 	MaxStoredResponseBytes int   `yaml:"answer_bytes" json:"answer_bytes"`
 	// MemoryMB is the memory that the process may use, in MiB; 0 means that of the VM.
 	MemoryMB int `yaml:"memory_mb" json:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 means the limit that the system
+	// sets for it.
+	MaxDescriptors int `yaml:"max_descriptors" json:"max_descriptors"`
 	// MaxLoadingVMs is the number of VMs of one failure domain that may load model
 	// weights from the store at the same time.
 	MaxLoadingVMs int `yaml:"max_loading" json:"max_loading"`
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -62,6 +62,9 @@
 	AskedToWait        Code = "asked_to_wait"
 	BackendLeaving     Code = "backend_leaving"
 	Cancelled          Code = "cancelled"
+	MemoryShort        Code = "memory_short"
+	TooSlow            Code = "too_slow"
+	HeadTooLarge       Code = "head_too_large"
 )
 
 // Refusal is the response to a request that was not served. It implements error.
@@ -108,6 +111,9 @@
 	AskedToWait:        http.StatusServiceUnavailable,
 	BackendLeaving:     http.StatusServiceUnavailable,
 	Cancelled:          499,
+	MemoryShort:        http.StatusServiceUnavailable,
+	TooSlow:            http.StatusRequestTimeout,
+	HeadTooLarge:       http.StatusRequestHeaderFieldsTooLarge,
 }
 
 // New returns a refusal with the HTTP status of its code.
--- a/internal/relayer/caller.go
+++ b/internal/relayer/caller.go
@@ -4,12 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/declarer"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/refuser"
@@ -63,11 +64,17 @@
 }
 
 func (t *Relayer) serveChat(w http.ResponseWriter, r *http.Request) {
-	req, refusal := t.parseRequest(w, r)
+	memory := budgeter.FromContext(r.Context(), t.Memory)
+	defer memory.Release()
+	req, refusal := t.parseRequest(w, r, memory)
 	if refusal != nil {
 		t.writeRefusal(w, refusal)
 		return
 	}
+	if !memory.Grow(decodedFactor * int64(len(req.Body))) {
+		t.writeRefusal(w, memoryShort())
+		return
+	}
 	var body chatRequest
 	if err := json.Unmarshal(req.Body, &body); err != nil {
 		t.writeRefusal(w, refuser.New(refuser.BadRequest, refuser.NotRun, "the body is not a chat-completions request: "+err.Error()))
@@ -103,7 +110,9 @@
 }
 
 func (t *Relayer) servePlain(w http.ResponseWriter, r *http.Request) {
-	req, refusal := t.parseRequest(w, r)
+	memory := budgeter.FromContext(r.Context(), t.Memory)
+	defer memory.Release()
+	req, refusal := t.parseRequest(w, r, memory)
 	if refusal != nil {
 		t.writeRefusal(w, refusal)
 		return
@@ -147,7 +156,7 @@
 }
 
 // parseRequest reads a request and makes the checks that apply to every request.
-func (t *Relayer) parseRequest(w http.ResponseWriter, r *http.Request) (*Request, *refuser.Refusal) {
+func (t *Relayer) parseRequest(w http.ResponseWriter, r *http.Request, memory *budgeter.Account) (*Request, *refuser.Refusal) {
 	t.updateStats(func(s *Stats) { s.Requests++ })
 	if refusal := t.CheckReady(); refusal != nil {
 		if r.Header.Get(HeaderIdempotencyKey) != "" {
@@ -160,7 +169,14 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	body, refusal := readBody(w, r, t.Limits.MaxBodyBytes)
+	size := int64(requestBytes)
+	if r.Header.Get(HeaderIdempotencyKey) != "" {
+		size += int64(t.Limits.MaxStoredResponseBytes)
+	}
+	if !memory.Grow(size) {
+		return nil, memoryShort()
+	}
+	body, refusal := readBody(w, r, t.Limits.MaxBodyBytes, memory)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -204,13 +220,36 @@
 	return team, nil
 }
 
-// bodyReadTimeout limits how long a caller may take to send the body of a request.
-const bodyReadTimeout = time.Minute
+const (
+	// bodyReadTimeout limits how long a caller may take to send the body of a request, and drainTimeout how long the rest of one
+	// that was refused is read.
+	bodyReadTimeout = time.Minute
+	drainTimeout    = 2 * time.Second
+	// requestBytes is what a request takes besides its head, body and kept answer: goroutines and buffers.
+	requestBytes = 32 << 10
+	// decodedFactor is how many times its bytes the body of a chat request takes while its messages are decoded.
+	decodedFactor = 2
+	// memoryRetryAfter is the Retry-After of a request for which there is no memory.
+	memoryRetryAfter = 2 * time.Second
+)
+
+// memoryShort returns the refusal of a request for which there is no memory.
+func memoryShort() *refuser.Refusal {
+	return refuser.New(refuser.MemoryShort, refuser.NotRun, "the requests of all callers take too much memory").WithRetryAfter(memoryRetryAfter)
+}
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refuser.Refusal) {
+// readBody reads the whole body of a request, and reserves what it keeps as it comes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, memory *budgeter.Account) ([]byte, *refuser.Refusal) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body := http.MaxBytesReader(w, r.Body, limit)
+	data, reserved, err := memory.ReadAll(body, r.ContentLength)
+	if !reserved || memory.WasReclaimed() {
+		memory.Release()
+		w.Header().Set("Connection", "close")
+		_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
+		return nil, memoryShort()
+	}
 	if err != nil {
 		// The read deadline stays set, so that the HTTP server does not wait for the
 		// rest of the body.
@@ -222,6 +261,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, refuser.New(refuser.TooLarge, refuser.NotRun, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refuser.New(refuser.TooSlow, refuser.NotRun, "the body did not arrive within "+bodyReadTimeout.String())
 	case err != nil:
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "the body broke off")
 	}
--- a/internal/relayer/hop.go
+++ b/internal/relayer/hop.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/refuser"
 	"trefoilhead.org/trefoilhead/internal/router"
@@ -184,7 +185,13 @@
 	}
 	t.peerRequests.Add(1)
 	defer t.peerRequests.Add(-1)
-	body, refusal := readBody(w, r, t.Limits.MaxBodyBytes)
+	memory := budgeter.FromContext(r.Context(), t.Memory)
+	defer memory.Release()
+	if !memory.Grow(requestBytes) {
+		memoryShort().Write(w)
+		return
+	}
+	body, refusal := readBody(w, r, t.Limits.MaxBodyBytes, memory)
 	if refusal != nil {
 		refusal.Write(w)
 		return
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/isolator"
 	"trefoilhead.org/trefoilhead/internal/limiter"
@@ -34,6 +35,8 @@
 	Elapsed func() time.Duration
 	// OnCrash, if set, is told of each crash of a server under a request.
 	OnCrash func(isolator.Run)
+	// Memory bounds what all requests keep of their heads and bodies; nil means no bound.
+	Memory *budgeter.Budget
 	// CheckReady returns nil if new requests are accepted, and the reason otherwise.
 	CheckReady func() *refuser.Refusal
 
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/rcrowley/go-metrics"
 
+	"trefoilhead.org/trefoilhead/internal/acceptor"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/linker"
 	"trefoilhead.org/trefoilhead/internal/refuser"
@@ -25,24 +26,51 @@
 	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
 	callers.HandleFunc("GET /readyz", s.serveReady)
 	s.relayer.RegisterHandlers(callers)
-	s.callerServer = newHTTPServer(callers)
+	s.callerServer = s.newHTTPServer("callers", callerConnectionFraction, callers)
 
 	control := http.NewServeMux()
+	s.controlServer = s.newHTTPServer("control", 1-callerConnectionFraction, control)
+	withKey := func(key string, h http.Handler) http.Handler {
+		return s.requireKey(key, s.controlServer.WithWholeBodies(h, maxCallBytes))
+	}
 	control.Handle(linker.Path, s.linker)
 	control.HandleFunc("POST "+relayer.PeerRequestPath, s.relayer.ServePeerRequest)
 	path, handler := trefoilheadv1connect.NewOperatorHandler(operatorHandler{s})
-	control.Handle(path, s.requireKey(s.Settings.Keys.Operator, handler))
+	control.Handle(path, withKey(s.Settings.Keys.Operator, handler))
 	path, handler = trefoilheadv1connect.NewRegistryHandler(registryHandler{s})
-	control.Handle(path, s.requireKey(s.Settings.Keys.Backend, handler))
+	control.Handle(path, withKey(s.Settings.Keys.Backend, handler))
 	control.Handle("GET /dump", s.requireKey(s.Settings.Keys.Operator, http.HandlerFunc(s.serveDump)))
 	control.HandleFunc("GET /metrics", s.serveMetrics)
-	s.controlServer = newHTTPServer(control)
 }
 
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+// newHTTPServer returns the server for one listener, which may use a fraction of the connections of clients.
+func (s *Server) newHTTPServer(name string, fraction float64, h http.Handler) *acceptor.Server {
+	server := &acceptor.Server{
+		Handler: h, Name: name, Memory: &s.memory, Logger: s.Logger, Metrics: s.metrics, RefusalBody: refusalBody, TLS: s.tls.serverConfig(),
+		MaxConnections: int(fraction * float64(s.resources().ClientConnections(s.tls != nil))),
+		Limits: func() acceptor.Limits {
+			return acceptor.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		},
+	}
+	server.Init()
+	return server
+}
+
+// resources returns what this process may use.
+func (s *Server) resources() acceptor.Resources {
+	return acceptor.Resources{MemoryBytes: int64(s.Settings.Limits.MemoryMB) << 20, Descriptors: s.Settings.Limits.MaxDescriptors}
+}
+
+// refusalBody returns the body of a refusal before a request has been read.
+func refusalBody(_ int, reason string) (mediaType string, body []byte) {
+	refusal := refuser.New(refuser.MemoryShort, refuser.NotRun, "the requests of all callers take too much memory")
+	switch reason {
+	case acceptor.ReasonHeadTooLarge:
+		refusal = refuser.New(refuser.HeadTooLarge, refuser.NotRun, "the head of the request is too large")
+	case acceptor.ReasonHeadTooSlow:
+		refusal = refuser.New(refuser.TooSlow, refuser.NotRun, "the head of the request did not arrive in time")
 	}
+	return "application/json", refusal.JSON()
 }
 
 // requireKey rejects requests whose bearer token is not key.
--- a/internal/server/network.go
+++ b/internal/server/network.go
@@ -94,9 +94,6 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if cfg := s.tls.serverConfig(); cfg != nil {
-		return tls.NewListener(l, cfg), nil
-	}
 	return l, nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,8 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"trefoilhead.org/trefoilhead/internal/acceptor"
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/claimer"
 	"trefoilhead.org/trefoilhead/internal/configurer"
 	"trefoilhead.org/trefoilhead/internal/driver"
@@ -45,10 +47,15 @@
 
 // Limits of connections and periods of the server's loops.
 const (
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	refreshInterval   = 200 * time.Millisecond
+	maxHeaderBytes = acceptor.DefaultHeadBytes
+	// maxCallBytes bounds the body of a call of an operator or a backend server.
+	maxCallBytes = 16 << 20
+	// callerConnectionFraction is the part of the connections that callers may take; operators, backend servers and peers get
+	// the rest.
+	callerConnectionFraction = 0.7
+	readHeaderTimeout        = 10 * time.Second
+	idleTimeout              = 2 * time.Minute
+	refreshInterval          = 200 * time.Millisecond
 	// maxRelativeLoad is the load, as a multiple of the average, up to which a
 	// group that probably has the prompt's prefix in its cache is preferred.
 	maxRelativeLoad = 1.25
@@ -91,9 +98,11 @@
 	// preserver is nil if this entry has no disk.
 	preserver     *preserver.Preserver
 	shuttingDown  atomic.Bool
-	callerServer  *http.Server
-	controlServer *http.Server
-	goroutines    sync.WaitGroup
+	callerServer  *acceptor.Server
+	controlServer *acceptor.Server
+	// memory is what all requests reserve.
+	memory     budgeter.Budget
+	goroutines sync.WaitGroup
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -138,6 +147,9 @@
 		s.Elapsed = timekeeper.SinceBoot
 	}
 	s.metrics = metrics.NewRegistry()
+	s.memory.Limit = s.resources().RequestMemory()
+	metrics.NewRegisteredFunctionalGauge("request_memory_bytes", s.metrics, s.memory.Used)
+	metrics.NewRegisteredFunctionalGauge("request_memory_reclaimed_total", s.metrics, s.memory.Reclaimed)
 	s.random = &lockedRand{r: rand.New(rand.NewPCG(s.Seed, uint64(s.Incarnation)))}
 	var err error
 	if s.tls, err = loadCredentials(cfg.TLS); err != nil {
@@ -183,7 +195,7 @@
 	client := verifier.NewClient(newTransport(dialer, s.tls))
 	s.relayer = &relayer.Relayer{
 		VM: cfg.VM, Locator: s.locator, Limits: limits, ClaimsLog: claimRunner{s}, CheckReady: s.checkReady,
-		Entries: len(cfg.Peers), Elapsed: s.Elapsed, OnCrash: s.logCrash,
+		Entries: len(cfg.Peers), Memory: &s.memory, Elapsed: s.Elapsed, OnCrash: s.logCrash,
 		Policy: &router.PrefixAffinity{MaxRelativeLoad: maxRelativeLoad},
 		Owner: &relayer.Owner{
 			Locator: s.locator, HasLostMember: s.registrar.AnyLost, RunningRequests: s.registrar.RunningRequests, Client: newBackendClient(dialer, s.tls), Limits: limits,
@@ -269,7 +281,7 @@
 	})
 }
 
-func (s *Server) serve(h *http.Server, l net.Listener, failed chan<- error) {
+func (s *Server) serve(h *acceptor.Server, l net.Listener, failed chan<- error) {
 	s.goroutines.Go(func() {
 		if err := h.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
