forwarder, relayer: a caller that is refused for memory gets its refusal

Found while reading the change: a request for whose goroutines there was no room, and any large body at serve, was refused and closed while the caller still sent, so the reset could overtake the refusal. With an idempotency key serve also said not_run where an earlier attempt under the key may have run; it says unknown there, as for other refusals that may be repeated. The rest of the body is read for 5 s and the limit of bodies at most.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -111,8 +111,7 @@
 	// drainTimeout and maxDrainBytes bound how long, and how much of, a body that is refused is read.
 	drainTimeout  = 5 * time.Second
 	maxDrainBytes = 8 << 20
-	// requestBytes is what a request takes besides its head, body and answer: goroutines, buffers and a full narrow
-	// receive buffer of the connection to its server.
+	// requestBytes is what a request takes besides its head, body and answer: goroutines and buffers.
 	requestBytes = 32 << 10
 	// outcomeMemoryShort is the outcome of such a request.
 	outcomeMemoryShort = "memory_short"
@@ -336,7 +335,9 @@
 	defer q.track()()
 	f.lastRequestAt.Store(int64(f.Elapsed()))
 	if !q.memory.Grow(requestBytes) {
+		q.memory.Release()
 		q.respondError(http.StatusServiceUnavailable, outcomeMemoryShort, memoryRetryAfter)
+		q.discard(r.Body)
 		return
 	}
 	if !q.validate() {
--- a/internal/relayer/caller.go
+++ b/internal/relayer/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -68,7 +69,7 @@
 	defer memory.Release()
 	req, refusal := t.parseRequest(w, r, memory)
 	if refusal != nil {
-		t.writeRefusal(w, refusal)
+		t.refuseUnread(w, r, refusal)
 		return
 	}
 	if !memory.Grow(decodedFactor * int64(len(req.Body))) {
@@ -114,7 +115,7 @@
 	defer memory.Release()
 	req, refusal := t.parseRequest(w, r, memory)
 	if refusal != nil {
-		t.writeRefusal(w, refusal)
+		t.refuseUnread(w, r, refusal)
 		return
 	}
 	req.Service = identifier.Service(r.PathValue("service"))
@@ -159,11 +160,7 @@
 func (t *Relayer) parseRequest(w http.ResponseWriter, r *http.Request, memory *budgeter.Account) (*Request, *refuser.Refusal) {
 	t.updateStats(func(s *Stats) { s.Requests++ })
 	if refusal := t.CheckReady(); refusal != nil {
-		if r.Header.Get(HeaderIdempotencyKey) != "" {
-			// An earlier attempt with the same key may have run.
-			refusal.Statement = refuser.MayHaveRun
-		}
-		return nil, refusal
+		return nil, stateForKey(r, refusal)
 	}
 	team, refusal := t.authenticate(r)
 	if refusal != nil {
@@ -174,11 +171,12 @@
 		size += int64(t.Limits.MaxStoredResponseBytes)
 	}
 	if !memory.Grow(size) {
-		return nil, memoryShort()
+		memory.Release()
+		return nil, stateForKey(r, memoryShort())
 	}
 	body, refusal := readBody(w, r, t.Limits.MaxBodyBytes, memory)
 	if refusal != nil {
-		return nil, refusal
+		return nil, stateForKey(r, refusal)
 	}
 	req := &Request{
 		Team: team.ID, TeamWeight: float64(team.Weight), Method: r.Method, Header: r.Header, Body: body,
@@ -187,6 +185,15 @@
 	return req, parseOptions(req, r)
 }
 
+// stateForKey adjusts the refusal of a request that may be sent again.
+func stateForKey(r *http.Request, refusal *refuser.Refusal) *refuser.Refusal {
+	if r.Header.Get(HeaderIdempotencyKey) != "" && refusal.RetryAfter > 0 {
+		// An earlier attempt with the same key may have run.
+		refusal.Statement = refuser.MayHaveRun
+	}
+	return refusal
+}
+
 func parseOptions(req *Request, r *http.Request) *refuser.Refusal {
 	if len(req.IdempotencyKey) > maxIdempotencyKeyBytes {
 		return refuser.New(refuser.BadRequest, refuser.NotRun, "the Idempotency-Key is longer than 255 bytes")
@@ -224,7 +231,7 @@
 	// bodyReadTimeout limits how long a caller may take to send the body of a request, and drainTimeout how long the rest of one
 	// that was refused is read.
 	bodyReadTimeout = time.Minute
-	drainTimeout    = 2 * time.Second
+	drainTimeout    = 5 * time.Second
 	// requestBytes is what a request takes besides its head, body and kept answer: goroutines and buffers.
 	requestBytes = 32 << 10
 	// decodedFactor is how many times its bytes the body of a chat request takes while its messages are decoded.
@@ -238,6 +245,20 @@
 	return refuser.New(refuser.MemoryShort, refuser.NotRun, "the requests of all callers take too much memory").WithRetryAfter(memoryRetryAfter)
 }
 
+// refuseUnread writes a refusal. If memory is short, it reads the rest of the body for drainTimeout and the limit of bodies at
+// most: closing the connection while the caller still sends would reset it, and the refusal would be lost.
+func (t *Relayer) refuseUnread(w http.ResponseWriter, r *http.Request, refusal *refuser.Refusal) {
+	t.writeRefusal(w, refusal)
+	if refusal.Code != refuser.MemoryShort {
+		return
+	}
+	rc := http.NewResponseController(w)
+	// Errors mean that the caller has gone or is too slow.
+	_ = rc.Flush()
+	_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.CopyN(io.Discard, r.Body, t.Limits.MaxBodyBytes)
+}
+
 // readBody reads the whole body of a request, and reserves what it keeps as it comes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, memory *budgeter.Account) ([]byte, *refuser.Refusal) {
 	rc := http.NewResponseController(w)
@@ -247,7 +268,6 @@
 	if !reserved || memory.WasReclaimed() {
 		memory.Release()
 		w.Header().Set("Connection", "close")
-		_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
 		return nil, memoryShort()
 	}
 	if err != nil {
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -61,14 +61,15 @@
 	return acceptor.Resources{MemoryBytes: int64(s.Settings.Limits.MemoryMB) << 20, Descriptors: s.Settings.Limits.MaxDescriptors}
 }
 
-// refusalBody returns the body of a refusal before a request has been read.
+// refusalBody returns the body of a refusal before a request has been read. Its head may name an idempotency key under
+// which an earlier attempt has run.
 func refusalBody(_ int, reason string) (mediaType string, body []byte) {
-	refusal := refuser.New(refuser.MemoryShort, refuser.NotRun, "the requests of all callers take too much memory")
+	refusal := refuser.New(refuser.MemoryShort, refuser.MayHaveRun, "the requests of all callers take too much memory")
 	switch reason {
 	case acceptor.ReasonHeadTooLarge:
 		refusal = refuser.New(refuser.HeadTooLarge, refuser.NotRun, "the head of the request is too large")
 	case acceptor.ReasonHeadTooSlow:
-		refusal = refuser.New(refuser.TooSlow, refuser.NotRun, "the head of the request did not arrive in time")
+		refusal = refuser.New(refuser.TooSlow, refuser.MayHaveRun, "the head of the request did not arrive in time")
 	}
 	return "application/json", refusal.JSON()
 }
