--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -247,10 +247,9 @@
 // lateAccounts returns the accounts that may be reclaimed, the one whose client is furthest behind
 // first. The caller holds mu.
 func (b *Budget) lateAccounts() []*Account {
-	latest := time.Now().Add(-minLag)
 	var late []*Account
 	for a := range b.awaiting {
-		if !a.isGrowing && !a.due.After(latest) {
+		if a.isLate() {
 			late = append(late, a)
 		}
 	}
@@ -258,6 +257,9 @@
 	return late
 }
 
+// isLate reports whether the account may be reclaimed. The caller holds the Budget's mu.
+func (a *Account) isLate() bool { return !a.isGrowing && time.Since(a.due) >= minLag }
+
 // reclaimAccount makes the wait of an account fail. The caller holds mu.
 func (b *Budget) reclaimAccount(a *Account) {
 	reclaim := a.reclaim
@@ -273,11 +275,16 @@
 func (b *Budget) ReclaimOne() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	late := b.lateAccounts()
-	if len(late) == 0 {
+	var last *Account
+	for a := range b.awaiting {
+		if a.isLate() && (last == nil || a.due.Before(last.due)) {
+			last = a
+		}
+	}
+	if last == nil {
 		return false
 	}
-	b.reclaimAccount(late[0])
+	b.reclaimAccount(last)
 	return true
 }
 
