forwarder: serve callers whose bodies come slowly

Cause: the time that the body took was taken from the latency objective, so the prediction was late at every server, and the chooser refuses what is late.

Change: if the body takes over half of the objective, the objective counts from its end. Waiting longer can't make such a request earlier. Others are chosen as before.

--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -99,6 +99,24 @@
 // expectRefusalOfUnreadRequest sends a request whose body does not end, calls act after a time, and checks that the
 // request is refused within 100 ms and did not run.
 func expectRefusalOfUnreadRequest(t *testing.T, status int, after time.Duration, act func(tb *testbed)) {
+	t.Helper()
+	withUnreadRequest(t, func(tb *testbed, c net.Conn) {
+		time.Sleep(after)
+		act(tb)
+		_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if runs := len(tb.backends["first"].receivedIDs()); resp.StatusCode != status || runs > 0 {
+			t.Errorf("status %d, %d runs", resp.StatusCode, runs)
+		}
+	})
+}
+
+// withUnreadRequest sends a request in chunks that do not end, and runs a test.
+func withUnreadRequest(t *testing.T, test func(tb *testbed, c net.Conn)) {
 	t.Helper()
 	withTestbed(t, map[string]func(net.Conn, *http.Request) bool{"first": completeResponse()}, func(tb *testbed) {
 		front, caller := piper.Host{Network: tb.net, Name: "front"}, piper.Host{Network: tb.net, Name: "caller"}
@@ -114,17 +132,24 @@
 			t.Fatal(err)
 		}
 		_, _ = fmt.Fprint(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nId: q1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
-		time.Sleep(after)
-		act(tb)
-		_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		test(tb, c)
+		tb.net.Kill("caller")
+	})
+}
+
+// TestSlowBodyIsServedInCalm guards against callers on slow links that are refused however often they come, since their
+// bodies take longer than the latency objective.
+func TestSlowBodyIsServedInCalm(t *testing.T) {
+	withUnreadRequest(t, func(tb *testbed, c net.Conn) {
+		time.Sleep(2 * time.Second)
+		_, _ = fmt.Fprint(c, "0\r\n\r\n")
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = resp.Body.Close() }()
-		if runs := len(tb.backends["first"].receivedIDs()); resp.StatusCode != status || runs > 0 {
+		if runs := len(tb.backends["first"].receivedIDs()); resp.StatusCode != http.StatusOK || runs != 1 {
 			t.Errorf("status %d, %d runs", resp.StatusCode, runs)
 		}
-		tb.net.Kill("caller")
 	})
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -343,6 +343,7 @@
 	if !q.validate() {
 		return
 	}
+	q.wholeAt = time.Now()
 	if end := f.end.Load(); end != nil && q.deadline.After(*end) {
 		q.respondError(http.StatusServiceUnavailable, outcomeStopping, stoppingRetryAfter)
 		return
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -52,7 +52,9 @@
 	body         []byte
 
 	receivedAt time.Time
-	deadline   time.Time
+	// wholeAt is when the body had been read.
+	wholeAt  time.Time
+	deadline time.Time
 
 	// tried lists the servers that the request was sent to or that could not be
 	// reached. possibleRuns counts those that may have run it, rejections those that
@@ -335,11 +337,20 @@
 	return true
 }
 
+// latencyBudget returns what is left of the latency objective. A caller whose body takes most of it to arrive would be refused
+// however often it comes, so its objective counts from the end of the body.
+func (q *request) latencyBudget(now time.Time) time.Duration {
+	objective := q.route.LatencyObjective
+	if q.wholeAt.Sub(q.receivedAt) > objective/2 {
+		return objective - now.Sub(q.wholeAt)
+	}
+	return objective - now.Sub(q.receivedAt)
+}
+
 // serverRequest returns what the chooser needs to know of the request.
 func (q *request) serverRequest(now time.Time, allowLate bool) chooser.Request {
-	latencyBudget := q.route.LatencyObjective - now.Sub(q.receivedAt)
 	req := chooser.Request{
-		Service: q.service, PromptTokens: q.info.PromptTokens, LatencyBudget: latencyBudget, Exclude: q.tried[q.triedAgainFrom:], AllowLate: allowLate,
+		Service: q.service, PromptTokens: q.info.PromptTokens, LatencyBudget: q.latencyBudget(now), Exclude: q.tried[q.triedAgainFrom:], AllowLate: allowLate,
 	}
 	for x := range q.open {
 		req.Exclude = append(slices.Clip(req.Exclude), x.server)
