acceptor, fronter, coordinator, server: callers' memory and that of other listeners are apart

Found while reading the change: the listeners for readiness checks, metrics and peers took their heads from the callers' budget. While callers hold all of it, a load balancer would have got 503 and taken the front out, and links of own processes and announcements of backend servers would have been refused. They have budgets of their own: 2 MiB for small listeners, 0.3 of all at serve's control listener.

--- a/internal/acceptor/sizes.go
+++ b/internal/acceptor/sizes.go
@@ -30,6 +30,10 @@
 // SmallListenerConnections is the bound on the connections of a listener that few clients use, as for readiness checks.
 const SmallListenerConnections = 64
 
+// SmallListenerMemory bounds what the requests of such a listener may reserve. It has a budget of its own, so that
+// callers who take all of theirs do not keep load balancers and own processes out.
+const SmallListenerMemory = 2 << 20
+
 // RequestMemoryFraction is the part of the memory that all requests may reserve. Until the next collection as much again may be garbage.
 const RequestMemoryFraction = 0.3
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -289,10 +289,11 @@
 		name, address string
 		handler       http.Handler
 		connections   int
+		memory        *budgeter.Budget
 	}{
-		{"peers", c.Settings.PeerListenAddress, peerMux, resources.ClientConnections(false) / 2},
-		{"control", c.Settings.ControlAddress, c.ControlHandler, resources.ClientConnections(false) / 2},
-		{"metrics", c.Settings.MetricsAddress, exposer.NewHandler(c.Metrics, c.dump), acceptor.SmallListenerConnections},
+		{"peers", c.Settings.PeerListenAddress, peerMux, resources.ClientConnections(false) / 2, &budgeter.Budget{Limit: acceptor.SmallListenerMemory}},
+		{"control", c.Settings.ControlAddress, c.ControlHandler, resources.ClientConnections(false) / 2, memory},
+		{"metrics", c.Settings.MetricsAddress, exposer.NewHandler(c.Metrics, c.dump), acceptor.SmallListenerConnections, &budgeter.Budget{Limit: acceptor.SmallListenerMemory}},
 	} {
 		if l.address == "" {
 			continue
@@ -302,7 +303,7 @@
 			return Error.Wrap(err)
 		}
 		srv := &acceptor.Server{
-			Name: l.name, MaxConnections: l.connections, Memory: memory, Logger: c.Logger, Metrics: c.Metrics,
+			Name: l.name, MaxConnections: l.connections, Memory: l.memory, Logger: c.Logger, Metrics: c.Metrics,
 			Limits: func() acceptor.Limits {
 				return acceptor.Limits{HeadBytes: controlHeadBytes, HeadTimeout: linkSilenceTimeout, IdleTimeout: controlIdleTimeout}
 			},
--- a/internal/fronter/callers.go
+++ b/internal/fronter/callers.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"trefoilhead.org/trefoilhead/internal/acceptor"
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/forwarder"
 )
@@ -23,7 +24,8 @@
 // newSmallServer returns a server for a listener of this process that few clients use.
 func (f *Front) newSmallServer(name string, h http.Handler) *acceptor.Server {
 	s := &acceptor.Server{
-		Handler: h, Name: name, MaxConnections: acceptor.SmallListenerConnections, Logger: f.Logger, Metrics: f.Metrics, Memory: &f.forwarder.Memory,
+		Handler: h, Name: name, MaxConnections: acceptor.SmallListenerConnections, Logger: f.Logger, Metrics: f.Metrics,
+		Memory: &budgeter.Budget{Limit: acceptor.SmallListenerMemory},
 		Limits: func() acceptor.Limits {
 			return acceptor.Limits{HeadBytes: smallHeadBytes, HeadTimeout: linkSilenceTimeout}
 		},
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"trefoilhead.org/trefoilhead/internal/acceptor"
+	"trefoilhead.org/trefoilhead/internal/budgeter"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/linker"
 	"trefoilhead.org/trefoilhead/internal/refuser"
@@ -26,10 +27,10 @@
 	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
 	callers.HandleFunc("GET /readyz", s.serveReady)
 	s.relayer.RegisterHandlers(callers)
-	s.callerServer = s.newHTTPServer("callers", callerConnectionFraction, callers)
+	s.callerServer = s.newHTTPServer("callers", callerFraction, &s.memory, callers)
 
 	control := http.NewServeMux()
-	s.controlServer = s.newHTTPServer("control", 1-callerConnectionFraction, control)
+	s.controlServer = s.newHTTPServer("control", 1-callerFraction, &s.controlMemory, control)
 	withKey := func(key string, h http.Handler) http.Handler {
 		return s.requireKey(key, s.controlServer.WithWholeBodies(h, maxCallBytes))
 	}
@@ -44,9 +45,9 @@
 }
 
 // newHTTPServer returns the server for one listener, which may use a fraction of the connections of clients.
-func (s *Server) newHTTPServer(name string, fraction float64, h http.Handler) *acceptor.Server {
+func (s *Server) newHTTPServer(name string, fraction float64, memory *budgeter.Budget, h http.Handler) *acceptor.Server {
 	server := &acceptor.Server{
-		Handler: h, Name: name, Memory: &s.memory, Logger: s.Logger, Metrics: s.metrics, RefusalBody: refusalBody, TLS: s.tls.serverConfig(),
+		Handler: h, Name: name, Memory: memory, Logger: s.Logger, Metrics: s.metrics, RefusalBody: refusalBody, TLS: s.tls.serverConfig(),
 		MaxConnections: int(fraction * float64(s.resources().ClientConnections(s.tls != nil))),
 		Limits: func() acceptor.Limits {
 			return acceptor.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -50,12 +50,12 @@
 	maxHeaderBytes = acceptor.DefaultHeadBytes
 	// maxCallBytes bounds the body of a call of an operator or a backend server.
 	maxCallBytes = 16 << 20
-	// callerConnectionFraction is the part of the connections that callers may take; operators, backend servers and peers get
-	// the rest.
-	callerConnectionFraction = 0.7
-	readHeaderTimeout        = 10 * time.Second
-	idleTimeout              = 2 * time.Minute
-	refreshInterval          = 200 * time.Millisecond
+	// callerFraction is the part of the connections and of the memory of requests that callers may take; operators, backend servers
+	// and peers get the rest.
+	callerFraction    = 0.7
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	refreshInterval   = 200 * time.Millisecond
 	// maxRelativeLoad is the load, as a multiple of the average, up to which a
 	// group that probably has the prompt's prefix in its cache is preferred.
 	maxRelativeLoad = 1.25
@@ -100,9 +100,10 @@
 	shuttingDown  atomic.Bool
 	callerServer  *acceptor.Server
 	controlServer *acceptor.Server
-	// memory is what all requests reserve.
-	memory     budgeter.Budget
-	goroutines sync.WaitGroup
+	// memory is what the requests of callers reserve, also those that come from peers, controlMemory what those of operators
+	// and backend servers do.
+	memory, controlMemory budgeter.Budget
+	goroutines            sync.WaitGroup
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -147,7 +148,9 @@
 		s.Elapsed = timekeeper.SinceBoot
 	}
 	s.metrics = metrics.NewRegistry()
-	s.memory.Limit = s.resources().RequestMemory()
+	all := s.resources().RequestMemory()
+	s.memory.Limit = int64(callerFraction * float64(all))
+	s.controlMemory.Limit = all - s.memory.Limit
 	metrics.NewRegisteredFunctionalGauge("request_memory_bytes", s.metrics, s.memory.Used)
 	metrics.NewRegisteredFunctionalGauge("request_memory_reclaimed_total", s.metrics, s.memory.Reclaimed)
 	s.random = &lockedRand{r: rand.New(rand.NewPCG(s.Seed, uint64(s.Incarnation)))}
