review: a client that names another model in each request takes the core processes and all callers down

Demand is kept by service and model with the name that the caller states, for the life of a core process, and all of it goes to each peer ten times a second (coordinator.demandTotals, nextHello). Without that client the rule holds.

--- a/review/rig3/case11.go
+++ b/review/rig3/case11.go
@@ -44,32 +44,37 @@
 	if err := enough(callers, calm, time.Now().Add(-time.Second), 0.9); err != nil {
 		return "", fmt.Errorf("in calm: %w", err)
 	}
-	began := time.Now()
 	if trouble {
-		s.nameModels(began.Add(40*time.Second), s.fronts[0], badKey)
+		s.nameModels(time.Now().Add(40*time.Second), s.fronts[0], badKey)
+		s.log("the client that names models has stopped")
 	} else {
 		time.Sleep(40 * time.Second)
 	}
-	for _, p := range append(append([]*process{}, s.cores...), s.fronts...) {
-		s.log("%s: peak memory %d MiB, runs: %v", p.name, p.peakMemoryMB(), p.runs())
-	}
+	time.Sleep(10 * time.Second)
+	after := time.Now()
+	time.Sleep(10 * time.Second)
+	var broken []string
 	for _, p := range append(append([]*process{}, s.cores...), s.fronts...) {
 		most := coreMemoryMB
 		if p.role == "front" {
 			most = frontMemoryMB
 		}
+		s.log("%s: peak memory %d MiB of %d, runs: %v", p.name, p.peakMemoryMB(), most, p.runs())
 		switch {
 		case !p.runs():
-			return p.name + " has ended", nil
+			broken = append(broken, p.name+" has ended")
 		case p.peakMemoryMB() > most:
-			return fmt.Sprintf("%s has used %d MiB of %d", p.name, p.peakMemoryMB(), most), nil
+			broken = append(broken, fmt.Sprintf("%s has used %d MiB of %d", p.name, p.peakMemoryMB(), most))
 		}
 	}
-	time.Sleep(time.Second)
-	if err := enough(callers, time.Now().Add(-10*time.Second), time.Now().Add(-5*time.Second), 0.5); err != nil {
-		return "ordinary callers do not get answers: " + err.Error(), nil
+	for _, c := range callers {
+		all, good := c.count(after, after.Add(5*time.Second))
+		s.log("caller %s, 10 to 15 s after the client has stopped: %d requests, %d answered with success", c.name, all, good)
+		if good == 0 {
+			broken = append(broken, fmt.Sprintf("%s got no answer to %d requests", c.name, all))
+		}
 	}
-	return "", nil
+	return strings.Join(broken, "; "), nil
 }
 
 // enough returns an error unless a share of the requests of each caller were answered with success.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -9,6 +9,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // play is one case. It returns what broke the rule, or an empty string if it held. An error means
@@ -23,6 +26,23 @@
 	exitNotRun = 2
 )
 
+// longest is how long a case may take.
+const longest = 112 * time.Second
+
+// endEarly ends the case upon a signal, or if it takes too long.
+func (s *system) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case sig := <-signals:
+		s.log("could not run: %v", sig)
+	case <-time.After(longest):
+		s.log("could not run: it takes too long")
+	}
+	s.end()
+	os.Exit(exitNotRun)
+}
+
 func main() {
 	name := flag.String("case", "", "number of the case")
 	words := flag.String("words", "", "file with the platform's names")
@@ -45,6 +65,7 @@
 		return exitNotRun
 	}
 	defer s.end()
+	go s.endEarly()
 	broken, err := p(s, trouble)
 	switch {
 	case err != nil:
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -37,17 +37,14 @@
 	cores   []*process
 	fronts  []*process
 	// net is the second number of all loopback addresses.
-	net              int
-	peerPort         int
-	controlPort      int
-	callersPort      int
-	readinessPort    int
-	metricsPort      int
-	withPeerProxies  bool
-	mu               sync.Mutex
-	out              *os.File
-	ends             []func()
-	lastRequestCount int
+	net                                                            int
+	peerPort, controlPort, callersPort, readinessPort, metricsPort int
+	// withPeerProxies puts a proxy in front of each core process for its peers.
+	withPeerProxies bool
+	mu              sync.Mutex
+	out             *os.File
+	ends            []func()
+	ending          sync.Once
 }
 
 // process is one process of the deployment on an address of its own.
@@ -96,7 +93,9 @@
 func (s *system) onEnd(f func()) { s.ends = append(s.ends, f) }
 
 // end ends all that the case has started.
-func (s *system) end() {
+func (s *system) end() { s.ending.Do(s.endAll) }
+
+func (s *system) endAll() {
 	for i := len(s.ends) - 1; i >= 0; i-- {
 		s.ends[i]()
 	}
@@ -397,3 +396,6 @@
 	}
 	return nil
 }
+
+// wipe empties the disk of a process that has ended.
+func (p *process) wipe() error { return os.RemoveAll(p.data) }
