coordinator: a voter's answer counts for that voter only, not for its VM

Cause: confirmLeadership asked the VM of each voter who leads. Whoever runs there answers, also the process on an empty disk, which is a learner under another id and follows the leader that it hears. The voter's promise to the newer leader was on the disk that is lost. The leader counted a former id of its own in the same way.

Change: TermState names the id of the process that replies and of the leader that it follows, and the leader compares both. Why this works: a process publishes its status after the write that it rests on, so a voter that says that it follows term t had promised nothing newer on a disk that it still has, and any newer leader needs a voter of each quorum. docs/design/quorums.md has the rule and each place where a quorum is counted.

For the test, the settings can stall a data folder, as they can fill it.

--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -53,6 +53,8 @@
 type NodeTests struct {
 	// DiskFullWhile is the path of a file. While it exists, the data folder refuses writes.
 	DiskFullWhile string `yaml:"disk_full_while" json:"disk_full_while"`
+	// DiskStalledWhile is the path of a file. While it exists, writes to the data folder wait.
+	DiskStalledWhile string `yaml:"disk_stalled_while" json:"disk_stalled_while"`
 }
 
 // NodeBounds holds the time and rate bounds that a deployment guarantees. Fields
--- a/internal/coordinator/confirm.go
+++ b/internal/coordinator/confirm.go
@@ -77,7 +77,7 @@
 	replies := make(chan replicator.NodeID, len(members))
 	for _, v := range members {
 		go func() {
-			if vm := driver.VMOf(v); vm != c.self && !c.peerFollowsSelf(ctx, vm, st.Term) {
+			if v != st.ID && !c.voterFollowsSelf(ctx, v, &st) {
 				v = ""
 			}
 			replies <- v
@@ -104,9 +104,20 @@
 	return true
 }
 
-func (c *Coordinator) peerFollowsSelf(ctx context.Context, vm identifier.VM, term replicator.Term) bool {
-	reply, err := c.linker.Call(ctx, vm, &peerv1.Envelope{TermAsk: &peerv1.TermAsk{Log: logName}})
-	return err == nil && reply.GetTermState().GetTerm() == uint64(term) && reply.GetTermState().GetLeader() == string(c.self)
+// voterFollowsSelf reports whether a voter follows this process, as leader in the term of st. A
+// process that runs on the voter's VM under another id is not the voter: the term and the vote
+// that the voter has promised may be those of a newer leader, on a disk that is lost.
+func (c *Coordinator) voterFollowsSelf(ctx context.Context, v replicator.NodeID, st *driver.Status) bool {
+	reply, err := c.linker.Call(ctx, driver.VMOf(v), &peerv1.Envelope{TermAsk: &peerv1.TermAsk{Log: logName}})
+	if err != nil {
+		return false
+	}
+	s := reply.GetTermState()
+	if s.GetVoterId() != string(v) {
+		_ = level.Debug(c.Logger).Log("msg", "another process has replied on the VM of a voter; the reply does not count", "voter", v, "replied", s.GetVoterId())
+		return false
+	}
+	return s.GetTerm() == uint64(st.Term) && s.GetLeaderId() == string(st.ID)
 }
 
 // authorityTerm returns the term in which this process may send placement orders
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -235,9 +235,13 @@
 
 // dataFolder returns a folder in the data folder.
 func (c *Coordinator) dataFolder(name string) journaler.FileSystem {
-	folder := journaler.OSFolder(filepath.Join(c.Settings.DataFolder, name))
+	osFolder := journaler.OSFolder(filepath.Join(c.Settings.DataFolder, name))
+	var folder journaler.FileSystem = osFolder
 	if while := c.Settings.Tests.DiskFullWhile; while != "" {
-		return journaler.RefusingFolder{OSFolder: folder, While: while}
+		folder = journaler.RefusingFolder{OSFolder: osFolder, While: while}
+	}
+	if while := c.Settings.Tests.DiskStalledWhile; while != "" {
+		folder = journaler.StallingFolder{FileSystem: folder, While: while}
 	}
 	return folder
 }
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -150,7 +150,7 @@
 	set := s.settings(name)
 	set.FirstStart = firstStart
 	set.DataFolder = h.disk
-	set.Tests.DiskFullWhile = s.diskFullFile(name)
+	set.Tests.DiskFullWhile, set.Tests.DiskStalledWhile = s.diskFullFile(name), s.diskStalledFile(name)
 	c := &coordinator.Coordinator{
 		Settings: set, Logger: s.logger(name), Network: piper.Host{Network: s.net, Name: name}, OrderSender: unresponsiveOrderSender{},
 		DecodeCatalog: decode, ControlHandler: http.NotFoundHandler(), Elapsed: func() time.Duration { return time.Since(s.startedAt) },
@@ -167,6 +167,11 @@
 // diskFullFile is the file that makes the disk of a host refuse writes.
 func (s *system) diskFullFile(name string) string { return filepath.Join(s.folder, name+"-full") }
 
+// diskStalledFile is the file that makes writes to the disk of a host wait.
+func (s *system) diskStalledFile(name string) string {
+	return filepath.Join(s.folder, name+"-stalled")
+}
+
 // replaceDisk gives a host an empty disk.
 func (s *system) replaceDisk(name string) {
 	s.diskCount++
@@ -181,6 +186,7 @@
 		}
 		h.stop()
 		s.net.Kill(name)
+		_ = os.Remove(s.diskStalledFile(name))
 		h.done.Wait()
 		s.mu.Lock()
 		h.stop, h.core = nil, nil
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -54,7 +54,9 @@
 		return &peerv1.Envelope{ProposalResult: &peerv1.ProposalResult{Result: result}}, nil
 	case e.GetTermAsk() != nil:
 		st := c.driver.Status()
-		return &peerv1.Envelope{TermState: &peerv1.TermState{Term: uint64(st.Term), Leader: string(st.Leader)}}, nil
+		return &peerv1.Envelope{TermState: &peerv1.TermState{
+			Term: uint64(st.Term), Leader: string(st.Leader), VoterId: string(st.ID), LeaderId: string(st.LeaderID),
+		}}, nil
 	case e.GetLeaveAsk() != nil:
 		return c.handleLeaveAsk(from, e.GetLeaveAsk())
 	case e.GetReadAsk() != nil:
