tracker: a departure holds for the life that it names, also before its first heartbeat

Cause: MarkGone with a later start than the known one marked the known life as gone and forgot the start that the departure named. The first heartbeat of that life, late, was then one of a new life. MarkLeaving dropped what a server had said in an answer if its present life was not known; the front reports it once the core process knows another state, so nobody told it again.

Change: a server's state holds GoneUpTo and LeavingUpTo, the latest starts that statements have named. They hold for each life up to them, grow only, and are merged by the maximum at core processes and fronts. Why this works: a maximum does not depend on the order or number of messages, and a later life has a later start than any statement of a former one. Fronts keep a server that is gone for 3 minutes although the core process that they follow does not list it.

The departure of a life before the known one is passed on now as well, since another process may know only that life. TestDepartureOfAnotherRunIsIgnored asked that a departure of a server that is not known be dropped; that was the fault. It asks the same now of one without a start time.

--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -60,7 +60,7 @@
 func (c *Coordinator) recordDepartures(from identifier.VM, departures []*peerv1.Departure) {
 	for _, d := range departures {
 		id := identifier.Server(d.GetId())
-		if !c.registry.MarkLeaving(id, d.GetBornMs()) {
+		if !c.registry.MarkLeaving(time.Now(), id, d.GetBornMs()) {
 			continue
 		}
 		_ = level.Info(c.Logger).Log("msg", "backend server has said in an answer that it leaves", "server", id, "front", from)
--- a/internal/encoder/server.go
+++ b/internal/encoder/server.go
@@ -18,6 +18,7 @@
 		HeardAgoMs: uint64(max(now.Sub(s.LastHeartbeatAt), 0).Milliseconds()),
 		ColdMs:     uint64(max(s.ColdUntil.Sub(now), 0).Milliseconds()),
 		Leaving:    s.Leaving, GonePresumed: s.GonePresumed, Reinstatements: s.Reinstatements,
+		GoneUpToMs: s.GoneUpTo, LeavingUpToMs: s.LeavingUpTo,
 	}
 	if m := s.Membership; m != (tracker.Membership{}) {
 		out.Membership = &peerv1.Membership{
@@ -37,6 +38,7 @@
 		Sequence: in.GetSequence(), StagedModels: in.GetStaged(), LoadedModels: in.GetModels(), Gone: in.GetGone(), Silent: in.GetSilent(),
 		LastHeartbeatAt: now.Add(-milliseconds(in.GetHeardAgoMs())), Leaving: in.GetLeaving(),
 		GonePresumed: in.GetGonePresumed(), Reinstatements: in.GetReinstatements(),
+		GoneUpTo: in.GetGoneUpToMs(), LeavingUpTo: in.GetLeavingUpToMs(),
 	}
 	if in.GetColdMs() > 0 {
 		s.ColdUntil = now.Add(milliseconds(in.GetColdMs()))
--- a/internal/fronter/pull.go
+++ b/internal/fronter/pull.go
@@ -360,11 +360,19 @@
 	return time.Duration(coordinator.SilenceTimeoutHeartbeats * float64(f.Settings.Bounds.HeartbeatInterval()))
 }
 
+// goneRetention is how long a server that is gone is kept though the core process does not list it, so
+// that a late heartbeat that reaches a core process which has just started does not bring it back.
+const goneRetention = 3 * time.Minute
+
 // dropUnlisted removes the servers that have not been listed for longer than timeout,
 // and reports whether there were any.
 func (st *pullState) dropUnlisted(now time.Time, timeout time.Duration) (dropped bool) {
 	for id, since := range st.unlistedSince {
-		if now.Sub(since) > timeout {
+		keptFor := timeout
+		if s := st.servers.Get(id); s != nil && s.Gone {
+			keptFor = goneRetention
+		}
+		if now.Sub(since) > keptFor {
 			delete(st.unlistedSince, id)
 			st.servers.RemoveServer(id)
 			dropped = true
--- a/internal/tracker/leaving_test.go
+++ b/internal/tracker/leaving_test.go
@@ -55,11 +55,12 @@
 // an answer of its former run.
 func TestDepartureOfAnotherRunIsIgnored(t *testing.T) {
 	var g Registry
+	now := time.Unix(1000, 0)
 	g.Apply(Server{ID: "s", Incarnation: 2, Sequence: 1})
-	if g.MarkLeaving("s", 1) || g.MarkLeaving("other", 1) || !g.Get("s").Usable() {
+	if g.MarkLeaving(now, "s", 1) || g.MarkLeaving(now, "other", 0) || !g.Get("s").Usable() {
 		t.Error("the departure of another run counts")
 	}
-	if !g.MarkLeaving("s", 2) || g.MarkLeaving("s", 2) || g.Get("s").Usable() {
+	if !g.MarkLeaving(now, "s", 2) || g.MarkLeaving(now, "s", 2) || g.Get("s").Usable() {
 		t.Error("the departure of this run does not count once")
 	}
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -77,9 +77,14 @@
 	// Gone is set once the server has announced that it leaves for good, after which
 	// it may still serve requests for a while, or once it is superseded.
 	Gone bool
-	// GonePresumed is set if Gone follows from a message that names no incarnation, or from one of
-	// another server. Heartbeats that go on take it back.
+	// GonePresumed is set if Gone follows from a message that names no incarnation or a later one, or
+	// from one of another server. Heartbeats that go on take it back.
 	GonePresumed bool
+	// GoneUpTo is the latest start time that a departure of the server has named, and LeavingUpTo that of
+	// the latest incarnation that has said in an answer that it leaves. They hold for every incarnation
+	// up to that start time, also for one whose heartbeat has not come yet.
+	GoneUpTo    uint64
+	LeavingUpTo uint64
 	// Reinstatements is how often heartbeats have taken back that the server is gone or has started
 	// anew. It orders states of a server before Incarnation does.
 	Reinstatements uint32
@@ -126,7 +131,30 @@
 	return cold && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain &&
 		s.Fabric == o.Fabric && s.SoftwareVersion == o.SoftwareVersion && s.Slots == o.Slots &&
 		s.Draining == o.Draining && s.Leaving == o.Leaving && s.Incarnation == o.Incarnation && s.Membership == o.Membership &&
-		s.Gone == o.Gone && s.Reinstatements == o.Reinstatements && slices.Equal(s.StagedModels, o.StagedModels) && slices.Equal(s.LoadedModels, o.LoadedModels)
+		s.Gone == o.Gone && s.Reinstatements == o.Reinstatements && s.GoneUpTo == o.GoneUpTo && s.LeavingUpTo == o.LeavingUpTo &&
+		slices.Equal(s.StagedModels, o.StagedModels) && slices.Equal(s.LoadedModels, o.LoadedModels)
+}
+
+// applyStatements marks the incarnation that s describes as gone or leaving if a statement holds for it.
+func (s *Server) applyStatements() {
+	if s.GoneUpTo > 0 && s.Incarnation <= s.GoneUpTo {
+		// A later incarnation that has left shows that this one has ended, if its start is dated right.
+		s.GonePresumed = s.Incarnation < s.GoneUpTo && (s.GonePresumed || !s.Gone)
+		s.Gone = true
+	}
+	if s.LeavingUpTo > 0 && s.Incarnation <= s.LeavingUpTo {
+		s.Leaving = true
+	}
+}
+
+// mergeStatements adds the statements that o holds, and reports whether s did not have them.
+func (s *Server) mergeStatements(o *Server) bool {
+	if o.GoneUpTo <= s.GoneUpTo && o.LeavingUpTo <= s.LeavingUpTo {
+		return false
+	}
+	s.GoneUpTo, s.LeavingUpTo = max(s.GoneUpTo, o.GoneUpTo), max(s.LeavingUpTo, o.LeavingUpTo)
+	s.applyStatements()
+	return true
 }
 
 // Registry holds the known backend servers. The zero value is an empty registry
@@ -225,6 +253,7 @@
 		if g.servers == nil {
 			g.servers = map[identifier.Server]*entry{}
 		}
+		s.applyStatements()
 		g.servers[s.ID] = &entry{server: s}
 		g.markChanged(g.servers[s.ID])
 		g.markSuperseded(&s)
@@ -236,11 +265,24 @@
 		return false
 	case s.Reinstatements > old.Reinstatements:
 		s.Silent = false
+		s.applyStatements()
 		*old, e.contender = s, contender{}
 		g.markChanged(e)
 		g.markSuperseded(&s)
 		return true
 	}
+	stated := old.mergeStatements(&s)
+	changed = g.applyAnnouncement(e, s)
+	if stated && !changed {
+		g.markChanged(e)
+	}
+	return stated || changed
+}
+
+// applyAnnouncement stores what s announces about its incarnation, unless that is older than the known
+// state. The statements that s holds are known already.
+func (g *Registry) applyAnnouncement(e *entry, s Server) (changed bool) {
+	old := &e.server
 	departed := false
 	if s.Incarnation == old.Incarnation {
 		departed = s.Leaving && !old.Leaving
@@ -267,6 +309,8 @@
 		s.LastHeartbeatAt = old.LastHeartbeatAt
 	}
 	s.Silent, s.Superseded = false, s.Incarnation == old.Incarnation && old.Superseded
+	s.GoneUpTo, s.LeavingUpTo = old.GoneUpTo, old.LeavingUpTo
+	s.applyStatements()
 	changed = old.Silent || !s.equalState(old)
 	*old = s
 	if changed {
@@ -295,15 +339,24 @@
 }
 
 // MarkLeaving records that an incarnation of a server has said in an answer that it leaves, and
-// reports whether that was not known.
-func (g *Registry) MarkLeaving(id identifier.Server, incarnation uint64) (changed bool) {
+// reports whether that was not known. The incarnation need not have announced itself yet.
+func (g *Registry) MarkLeaving(now time.Time, id identifier.Server, incarnation uint64) (changed bool) {
 	e := g.servers[id]
-	if e == nil || e.server.Incarnation != incarnation || e.server.Leaving {
+	switch {
+	case e == nil && incarnation == 0:
 		return false
+	case e == nil:
+		return g.Apply(Server{ID: id, Incarnation: incarnation, LeavingUpTo: incarnation, LastHeartbeatAt: now})
+	case incarnation > e.server.Incarnation || incarnation == e.server.Incarnation && incarnation > 0:
+		changed = e.server.mergeStatements(&Server{LeavingUpTo: incarnation})
+	case incarnation == e.server.Incarnation:
+		changed = !e.server.Leaving
+		e.server.Leaving = true
 	}
-	e.server.Leaving = true
-	g.markChanged(e)
-	return true
+	if changed {
+		g.markChanged(e)
+	}
+	return changed
 }
 
 // markSuperseded marks other servers at the address of s that started before s as
@@ -348,26 +401,26 @@
 	e.revision = g.revision
 }
 
-// MarkGone records that a server has announced that it leaves for good. If the
-// announcement did not name an incarnation, incarnation is 0, and the incarnation that is
-// known is presumed to be gone. A server that is not known is added as gone if the
-// announcement named an incarnation.
+// MarkGone records that a server has announced that it leaves for good, and reports whether that was not
+// known. If the announcement named an incarnation, that one and all earlier ones are gone, whatever
+// was heard of them. If it did not, incarnation is 0, and the incarnation that is known is presumed to be gone.
 func (g *Registry) MarkGone(now time.Time, id identifier.Server, incarnation uint64) (changed bool) {
 	e := g.servers[id]
 	switch {
 	case e == nil && incarnation == 0:
 		return false
 	case e == nil:
-		return g.Apply(Server{ID: id, Incarnation: incarnation, Gone: true, LastHeartbeatAt: now})
-	case incarnation != 0 && incarnation < e.server.Incarnation:
+		return g.Apply(Server{ID: id, Incarnation: incarnation, Gone: true, GoneUpTo: incarnation, LastHeartbeatAt: now})
+	case incarnation == 0 && e.server.Gone:
 		return false
-	}
-	presumed := incarnation == 0
-	if e.server.Gone && (presumed || !e.server.GonePresumed) {
+	case incarnation == 0:
+		e.server.Gone, e.server.GonePresumed = true, true
+	case !e.server.mergeStatements(&Server{GoneUpTo: incarnation}):
 		return false
 	}
-	e.server.Gone, e.server.GonePresumed = true, presumed
-	e.server.LastHeartbeatAt = now
+	if e.server.Gone {
+		e.server.LastHeartbeatAt = now
+	}
 	g.markChanged(e)
 	return true
 }
@@ -399,26 +452,44 @@
 		g.servers = map[identifier.Server]*entry{}
 	}
 	if e := g.servers[s.ID]; e != nil {
-		old := &e.server
-		if s.Reinstatements < old.Reinstatements || s.Reinstatements == old.Reinstatements && s.Incarnation < old.Incarnation {
+		old := e.server
+		switch {
+		case s.Reinstatements < old.Reinstatements:
 			return
-		}
-		if s.Reinstatements == old.Reinstatements && s.Incarnation == old.Incarnation {
-			leaving, gone := s.Leaving || old.Leaving, s.Gone || old.Gone
-			if s.Sequence < old.Sequence || old.Gone && !s.Gone {
-				if leaving == old.Leaving && gone == old.Gone {
-					return
-				}
-				s = *old
+		case s.Reinstatements == old.Reinstatements:
+			next, isNewer := newerState(old, s)
+			stated := old.mergeStatements(&s)
+			if !isNewer && !stated {
+				return
 			}
-			s.Leaving, s.Gone = leaving, gone
+			next.mergeStatements(&old)
+			s = next
 		}
 	}
+	s.applyStatements()
 	// A new entry keeps the results of earlier calls of All and Get unchanged.
 	e := &entry{server: s}
 	g.servers[s.ID] = e
 	g.markChanged(e)
 }
 
+// newerState returns what two states of a server with the same number of reinstatements announce of its latest
+// incarnation, and whether s adds to that.
+func newerState(old, s Server) (next Server, isNewer bool) {
+	switch {
+	case s.Incarnation < old.Incarnation:
+		return old, false
+	case s.Incarnation > old.Incarnation:
+		return s, true
+	}
+	leaving, gone := s.Leaving || old.Leaving, s.Gone || old.Gone
+	next, isNewer = s, true
+	if s.Sequence < old.Sequence || old.Gone && !s.Gone {
+		next, isNewer = old, leaving != old.Leaving || gone != old.Gone
+	}
+	next.Leaving, next.Gone = leaving, gone
+	return next, isNewer
+}
+
 // RemoveServer deletes a server, so that any later announcement adds it anew.
 func (g *Registry) RemoveServer(id identifier.Server) { delete(g.servers, id) }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -198,8 +198,8 @@
 		t.Fatal(err)
 	}
 	want := []string{
-		"Address", "Born", "ColdUntil", "Dead", "Domain", "Draining", "Fabric", "Gone", "GonePresumed", "HeardAt", "ID", "Leaving", "Membership",
-		"Models", "Reinstatements", "Sequence", "Service", "Silent", "Slots", "Software", "Staged",
+		"Address", "Born", "ColdUntil", "Dead", "Domain", "Draining", "Fabric", "Gone", "GonePresumed", "GoneUpTo", "HeardAt", "ID", "Leaving",
+		"LeavingUpTo", "Membership", "Models", "Reinstatements", "Sequence", "Service", "Silent", "Slots", "Software", "Staged",
 	}
 	if got := slices.Sorted(maps.Keys(fields)); !slices.Equal(got, want) {
 		t.Errorf("JSON fields of Server: %q rather than %q", got, want)
