coordinator: an acknowledged departure outlives a restart of all core processes

Cause: "acknowledged" rested on the memory of the core processes that were live, and all of them may be killed at once.

Change: each core process writes the departures that it knows to a file of its own before it replies, and the acknowledgement needs one disk at least; if there is none the call is refused (ErrNotKept, 503) and the server asks the next one. Why this works: the file is read before the process takes a heartbeat, and the departures of several files are merged by the maximum, so neither the order of the starts nor the loss of f disks matters while one disk that has it is back.

ReplaceFile, which the file of the evidence about crashes used already, moved to journaler.

--- a/internal/coordinator/acknowledged_test.go
+++ b/internal/coordinator/acknowledged_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
 
+	"trefoilhead.org/trefoilhead/internal/coordinator"
 	"trefoilhead.org/trefoilhead/internal/identifier"
 	"trefoilhead.org/trefoilhead/internal/tracker"
 	"trefoilhead.org/trefoilhead/pkg/wire/peerv1"
@@ -71,6 +73,64 @@
 	}
 }
 
+// TestDepartureOutlivesRestartOfAllCores guards against a departure that is acknowledged and forgotten, because
+// all core processes are killed and a heartbeat of that life comes late.
+func TestDepartureOutlivesRestartOfAllCores(t *testing.T) {
+	for _, restartFronts := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fronts too %t", restartFronts), func(t *testing.T) {
+			t.Parallel()
+			runInSystem(t, func(s *system) {
+				s.mustPublish(1, "a")
+				s.startFront()
+				s.coreNamed("a").HandleAnnouncement(context.Background(), life(5))
+				time.Sleep(2 * time.Second)
+				if err := s.coreNamed("b").HandleLeave(context.Background(), "s", 5); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(500 * time.Millisecond)
+				s.killCores(initialCores...)
+				if restartFronts {
+					s.killFront("f")
+				}
+				time.Sleep(500 * time.Millisecond)
+				for _, name := range initialCores {
+					s.startCore(name, false)
+				}
+				if restartFronts {
+					s.startFront()
+				}
+				time.Sleep(5 * time.Second)
+				for _, name := range initialCores {
+					s.coreNamed(name).HandleAnnouncement(context.Background(), life(5))
+				}
+				s.expectUnused(6 * time.Second)
+				s.coreNamed("c").HandleAnnouncement(context.Background(), life(6))
+				time.Sleep(time.Second)
+				s.expectUsed(6)
+			})
+		})
+	}
+}
+
+// TestDepartureThatNoDiskHoldsIsRefused guards against an acknowledgement that rests on memory only.
+func TestDepartureThatNoDiskHoldsIsRefused(t *testing.T) {
+	runInSystem(t, func(s *system) {
+		s.mustPublish(1, "a")
+		s.coreNamed("a").HandleAnnouncement(context.Background(), life(5))
+		time.Sleep(2 * time.Second)
+		for _, name := range initialCores {
+			s.setDiskFull(name, true)
+		}
+		if err := s.coreNamed("a").HandleLeave(context.Background(), "s", 5); !errors.Is(err, coordinator.ErrNotKept) {
+			t.Errorf("with all disks full the call returned %v", err)
+		}
+		s.setDiskFull("c", false)
+		if err := s.coreNamed("a").HandleLeave(context.Background(), "s", 5); err != nil {
+			t.Errorf("with one disk that accepts writes the call returned %v", err)
+		}
+	})
+}
+
 // TestAnswerOfUnknownLifeIsKept guards against a server that gets requests again because it has said in an answer
 // that it leaves before the core process has heard of its present life.
 func TestAnswerOfUnknownLifeIsKept(t *testing.T) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -172,7 +172,8 @@
 	// fronts of the system.
 	ledger isolator.Ledger
 	// preserver keeps the evidence over a restart.
-	preserver preserver.Preserver
+	preserver     preserver.Preserver
+	departureFile departureFile
 	// decider decides on isolations while this process leads. Only runLoop uses it.
 	decider isolator.Decider
 	// isolating is set while a decision is being proposed to the log.
@@ -229,6 +230,7 @@
 	}
 	c.driver.Init()
 	c.initPreserver()
+	c.initDepartures()
 	c.initMetrics()
 	c.linker.OnMessage = (&traffic{registry: c.Metrics, domain: set.FailureDomain}).record
 }
@@ -322,6 +324,7 @@
 	wg.Go(func() { c.confirmLoop(ctx) })
 	wg.Go(func() { c.votersLoop(ctx) })
 	wg.Go(func() { c.preserver.Run(ctx) })
+	wg.Go(func() { c.departureFile.run(ctx) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -437,7 +440,7 @@
 	c.unreported[s.ID] = true
 	c.mu.Unlock()
 	if departs {
-		c.shareDeparture(ctx, s.ID)
+		_, _ = c.shareDeparture(ctx, s.ID, false)
 	}
 }
 
--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -20,10 +19,13 @@
 	// ErrUnknownServer means that this process cannot tell which incarnation leaves. Another one
 	// may know.
 	ErrUnknownServer = errs.New("the server is not known and the call names no start time")
+	// ErrNotKept means that no disk holds the departure, so that a restart of all core processes would
+	// forget it.
+	ErrNotKept = errs.New("no core process could write the departure to its disk")
 )
 
-// departureShareTimeout bounds how long the acknowledgement of a departure waits for the other core
-// processes. The server waits for a second.
+// departureShareTimeout bounds how long the acknowledgement of a departure waits for the disk and the
+// other core processes. The server waits for a second.
 const departureShareTimeout = 300 * time.Millisecond
 
 // departureSettleTime is how long a departure waits that names no start time. It is longer than a
@@ -31,8 +33,10 @@
 const departureSettleTime = 100 * time.Millisecond
 
 // shareDeparture tells the live core processes that a server leaves, and waits until they have
-// replied. A departure is announced once, so it must not be lost with this process.
-func (c *Coordinator) shareDeparture(ctx context.Context, id identifier.Server) {
+// replied and, with keep set, have written it to their disks as this one does. A departure is announced
+// once, so it must not be lost with this process. It returns how many processes were not told in time,
+// this one included, and ErrNotKept if none has written it.
+func (c *Coordinator) shareDeparture(ctx context.Context, id identifier.Server, keep bool) (missed int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, departureShareTimeout)
 	defer cancel()
 	now := time.Now()
@@ -40,20 +44,35 @@
 	s := c.registry.Get(id)
 	if s == nil {
 		c.mu.Unlock()
-		return
+		return 0, nil
 	}
 	state, peers := encoder.EncodeServer(now, s), c.livePeers(now)
 	c.mu.Unlock()
-	var wg sync.WaitGroup
+	told := make(chan error, len(peers)+1)
+	if keep {
+		go func() { told <- c.departureFile.save(ctx) }()
+	} else {
+		told <- nil
+	}
 	for _, vm := range peers {
-		wg.Go(func() {
-			report := &peerv1.Envelope{ServerReports: &peerv1.ServerReports{Servers: []*peerv1.ServerState{state}}}
-			if _, err := c.linker.Call(ctx, vm, report); err != nil {
+		go func() {
+			report := &peerv1.Envelope{ServerReports: &peerv1.ServerReports{Servers: []*peerv1.ServerState{state}, Keep: keep}}
+			_, err := c.linker.Call(ctx, vm, report)
+			if err != nil {
 				_ = level.Info(c.Logger).Log("msg", "a core process was not told of a departure before it is acknowledged", "server", id, "peer", vm, "err", err)
 			}
-		})
+			told <- err
+		}()
+	}
+	for range cap(told) {
+		if err := <-told; err != nil {
+			missed++
+		}
 	}
-	wg.Wait()
+	if keep && missed == cap(told) {
+		return missed, ErrNotKept
+	}
+	return missed, nil
 }
 
 // recordDepartures records what servers have said in answers to a front. The caller must hold mu.
@@ -96,10 +115,11 @@
 			return ErrUnknownServer
 		}
 	}
-	if c.recordLeave(id, incarnation) {
-		c.shareDeparture(ctx, id)
+	if !c.recordLeave(id, incarnation) {
+		return nil
 	}
-	return nil
+	_, err := c.shareDeparture(ctx, id, incarnation != 0)
+	return err
 }
 
 // recordLeave reports whether the departure was not known.
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -41,8 +41,7 @@
 		c.driver.Deliver(encoder.DecodeLogMessage(e.GetLog()))
 		return nil, nil
 	case e.GetServerReports() != nil:
-		c.handleServerReports(e.GetServerReports())
-		return nil, nil
+		return nil, c.handleServerReports(ctx, e.GetServerReports())
 	case e.GetCoreHello() != nil:
 		c.handleHello(from, e.GetCoreHello())
 		return nil, nil
@@ -79,13 +78,28 @@
 	}
 }
 
-func (c *Coordinator) handleServerReports(r *peerv1.ServerReports) {
+// handleServerReports records what another core process has heard of servers. If that one waits for it, it
+// returns once the departures among them are on disk.
+func (c *Coordinator) handleServerReports(ctx context.Context, r *peerv1.ServerReports) error {
 	now := time.Now()
+	departed := false
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range r.GetServers() {
-		c.updateServer(encoder.DecodeServer(now, s), c.registry.Apply)
+	for _, in := range r.GetServers() {
+		s := encoder.DecodeServer(now, in)
+		known := c.registry.Get(s.ID)
+		departed = departed || s.GoneUpTo > 0 && (known == nil || known.GoneUpTo < s.GoneUpTo)
+		c.updateServer(s, c.registry.Apply)
+	}
+	c.mu.Unlock()
+	switch {
+	case r.GetKeep():
+		ctx, cancel := context.WithTimeout(ctx, departureShareTimeout)
+		defer cancel()
+		return c.departureFile.save(ctx)
+	case departed:
+		c.departureFile.saveSoon()
 	}
+	return nil
 }
 
 func (c *Coordinator) handleHello(from identifier.VM, h *peerv1.CoreHello) {
--- a/internal/journaler/files.go
+++ b/internal/journaler/files.go
@@ -1,6 +1,7 @@
 package journaler
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -27,6 +28,35 @@
 	SyncFolder() error
 }
 
+// replacementSuffix ends the name of the file that ReplaceFile writes before it renames it.
+const replacementSuffix = ".new"
+
+// ReplaceFile writes a file so that after a crash it holds either what it held before or data. Once it has
+// returned nil, data survives a loss of power.
+func ReplaceFile(fs FileSystem, name string, data []byte) error {
+	// List creates the folder.
+	if _, err := fs.List(); err != nil {
+		return err
+	}
+	next := name + replacementSuffix
+	f, err := fs.Create(next)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		// The unfinished file would only take room.
+		return errors.Join(err, fs.Remove(next))
+	}
+	if err := fs.Rename(next, name); err != nil {
+		return err
+	}
+	return fs.SyncFolder()
+}
+
 // OSFolder is a FileSystem on a folder of the operating system. Its value is the
 // path of the folder.
 type OSFolder string
--- a/internal/preserver/preserver.go
+++ b/internal/preserver/preserver.go
@@ -29,8 +29,7 @@
 var Error = errs.Class("evidence file")
 
 const (
-	fileName     = "evidence"
-	tempFileName = "evidence.new"
+	fileName = "evidence"
 	// saveInterval is the shortest time between two writes.
 	saveInterval = 200 * time.Millisecond
 	// maxRestartTime is the longest time between the last write and the next start that
@@ -150,24 +149,5 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	// List creates the folder.
-	if _, err := p.FileSystem.List(); err != nil {
-		return Error.Wrap(err)
-	}
-	f, err := p.FileSystem.Create(tempFileName)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		// The unfinished file would only take room.
-		return Error.Wrap(errors.Join(err, p.FileSystem.Remove(tempFileName)))
-	}
-	if err := p.FileSystem.Rename(tempFileName, fileName); err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(p.FileSystem.SyncFolder())
+	return Error.Wrap(journaler.ReplaceFile(p.FileSystem, fileName, data))
 }
--- a/internal/preserver/preserver_test.go
+++ b/internal/preserver/preserver_test.go
@@ -58,7 +58,7 @@
 // more, because of what a former run has left.
 func TestDamagedFileIsIgnored(t *testing.T) {
 	folder := t.TempDir()
-	for _, name := range []string{fileName, tempFileName} {
+	for _, name := range []string{fileName, fileName + ".new"} {
 		if err := os.WriteFile(filepath.Join(folder, name), []byte{0x5f, 1, 2}, 0o600); err != nil {
 			t.Fatal(err)
 		}
