coordinator: a departure that is announced again waits for the other processes too

A server whose first call got no answer asks again, and the second call was acknowledged at once while the first was still being passed on. If the first never reached another process, fronts that follow that one go on sending (DRAIN).

Cause: decideLeave passed a departure on only if it had not been known, and HandleAnnouncement did the same with the first heartbeat that says "draining".

Evidence: TestRepeatedDepartureIsAcknowledgedOnceOthersKnow: the second call was acknowledged 20 ms after the first one in 2 of 2 cases, with the other processes out of reach.

Change: each departure call is passed on; a draining heartbeat until all live core processes have replied once for that life. Why this works: what is acknowledged has been passed on by the call that is acknowledged.

--- a/internal/coordinator/acknowledged_test.go
+++ b/internal/coordinator/acknowledged_test.go
@@ -112,6 +112,36 @@
 	}
 }
 
+// TestRepeatedDepartureIsAcknowledgedOnceOthersKnow guards against a departure call that is acknowledged at
+// once while the first one is still being passed on.
+func TestRepeatedDepartureIsAcknowledgedOnceOthersKnow(t *testing.T) {
+	for name, leave := range map[string]func(c *coordinator.Coordinator){
+		"gone": func(c *coordinator.Coordinator) { _ = c.HandleLeave(context.Background(), "s", 5) },
+		"draining": func(c *coordinator.Coordinator) {
+			draining := life(5)
+			draining.Sequence, draining.Draining = 2, true
+			c.HandleAnnouncement(context.Background(), draining)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInSystem(t, func(s *system) {
+				s.mustPublish(1, "a")
+				s.coreNamed("a").HandleAnnouncement(context.Background(), life(5))
+				time.Sleep(2 * time.Second)
+				// The others count as live for a while.
+				s.cutCore("a", true)
+				began := time.Now()
+				go leave(s.coreNamed("a"))
+				time.Sleep(20 * time.Millisecond)
+				leave(s.coreNamed("a"))
+				if took := time.Since(began); took < 200*time.Millisecond {
+					t.Errorf("the second call was acknowledged %s after the first one, before another process could know", took)
+				}
+			})
+		})
+	}
+}
+
 // TestDepartureThatNoDiskHoldsIsRefused guards against an acknowledgement that rests on memory only.
 func TestDepartureThatNoDiskHoldsIsRefused(t *testing.T) {
 	runInSystem(t, func(s *system) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -154,6 +155,8 @@
 	// that the reports do not wait for reportInterval.
 	unreported   map[identifier.Server]bool
 	reportUrgent bool
+	// sharedDrains holds the incarnations of draining servers of which all live core processes know that.
+	sharedDrains map[identifier.Server]uint64
 	peers        map[identifier.VM]*peer
 	// leaving is set by Leave. votersDue wakes votersLoop.
 	leaving   bool
@@ -203,7 +206,7 @@
 	c.registry.SilenceTimeout = time.Duration(SilenceTimeoutHeartbeats * float64(set.Bounds.HeartbeatInterval()))
 	c.registry.IsNamed = func(s identifier.Service) bool { return c.catalog != nil && c.catalog.Service(s) != nil }
 	c.changed = make(chan struct{})
-	c.unreported = map[identifier.Server]bool{}
+	c.unreported, c.sharedDrains = map[identifier.Server]bool{}, map[identifier.Server]uint64{}
 	c.peers = map[identifier.VM]*peer{}
 	c.votersDue = make(chan struct{}, 1)
 	c.fronts = map[identifier.VM]*front{}
@@ -420,6 +423,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	silent := c.registry.ExpireServers(now)
+	maps.DeleteFunc(c.sharedDrains, func(id identifier.Server, _ uint64) bool { return c.registry.Get(id) == nil })
 	for _, id := range silent {
 		s := c.registry.Get(id)
 		_ = level.Info(c.Logger).Log("msg", "backend server is silent", "server", id, "service", s.Service,
@@ -434,13 +438,17 @@
 // and queues it for the other core processes. It returns once they know of a departure.
 func (c *Coordinator) HandleAnnouncement(ctx context.Context, s tracker.Server) {
 	c.mu.Lock()
-	before := c.registry.Get(s.ID)
-	departs := s.Draining && (before == nil || before.Incarnation != s.Incarnation || !before.Draining)
 	c.updateServer(s, c.registry.Announce)
 	c.unreported[s.ID] = true
+	shared, known := c.sharedDrains[s.ID]
 	c.mu.Unlock()
-	if departs {
-		_, _ = c.shareDeparture(ctx, s.ID, false)
+	if !s.Draining || known && shared == s.Incarnation {
+		return
+	}
+	if missed, _ := c.shareDeparture(ctx, s.ID, false); missed == 0 {
+		c.mu.Lock()
+		c.sharedDrains[s.ID] = s.Incarnation
+		c.mu.Unlock()
 	}
 }
 
--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -115,23 +115,20 @@
 			return ErrUnknownServer
 		}
 	}
-	if !c.recordLeave(id, incarnation) {
-		return nil
-	}
+	c.recordLeave(id, incarnation)
+	// A call that is repeated waits too: the first one may not have reached any other process yet.
 	_, err := c.shareDeparture(ctx, id, incarnation != 0)
 	return err
 }
 
-// recordLeave reports whether the departure was not known.
-func (c *Coordinator) recordLeave(id identifier.Server, incarnation uint64) bool {
+func (c *Coordinator) recordLeave(id identifier.Server, incarnation uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.registry.MarkGone(time.Now(), id, incarnation) {
-		return false
+		return
 	}
 	_ = level.Info(c.Logger).Log("msg", "backend server announced its departure", "server", id, "start_time", incarnation)
 	c.unreported[id] = true
 	c.reportUrgent = true
 	c.notifyChanged()
-	return true
 }
