withholder: an answer that came before the heartbeats of its life is kept for that life

Cause: an answer does not name its life. observeStatements kept it for the life that the front knew, and a new life started without it.

Change: a notice holds when the answer came, and holds for a later life too, for 30 s at most, if that one had started by then. Why this works: a life that made the statement had started when the answer came; one that starts later did not make it. The case "a new run" of TestWaitBelongsToIncarnation had a run that starts in 1970, before the answer; it starts after the answer now, and one that had started before has to be kept from requests.

--- a/internal/forwarder/statements.go
+++ b/internal/forwarder/statements.go
@@ -36,6 +36,7 @@
 		limit = throttler.Statement{Kind: throttler.UnreadableLimit}
 	}
 	s := withholder.NewStatement(x.resp.StatusCode, x.resp.Header, x.respInfo.Leaving)
+	s.SaidAt = uint64(max(time.Now().UnixMilli(), 0))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if x.respInfo.Limit.Kind == throttler.UnreadableLimit {
--- a/internal/forwarder/statements_test.go
+++ b/internal/forwarder/statements_test.go
@@ -32,7 +32,7 @@
 func (tb *testbed) withhold(id identifier.Server, wait time.Duration) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	tb.chooser.Withheld.Observe(tb.Elapsed(), id, 1, withholder.Statement{Wait: wait}, "q0")
+	tb.chooser.Withheld.Observe(tb.Elapsed(), id, 1, withholder.Statement{Wait: wait, SaidAt: uint64(time.Now().UnixMilli())}, "q0")
 }
 
 // TestNoServerIsUsedWhileAllAskToWait guards against requests that are sent to a server that has
@@ -129,7 +129,8 @@
 // another run of them, or another server at their address, has asked for.
 func TestWaitBelongsToIncarnation(t *testing.T) {
 	for name, change := range map[string]func(*tracker.Server){
-		"a new run":                       func(s *tracker.Server) { s.Incarnation = 2 },
+		"a run that starts after that":    func(s *tracker.Server) { s.Incarnation = uint64(time.Now().Add(time.Second).UnixMilli()) },
+		"a run that had started by then":  func(s *tracker.Server) { s.Incarnation = uint64(time.Now().Add(-time.Second).UnixMilli()) },
 		"another server at the address":   func(s *tracker.Server) { s.ID = "other" },
 		"the same run in another group":   func(s *tracker.Server) { s.Membership.Epoch = 7 },
 		"the same run, not ready a while": nil,
@@ -142,7 +143,8 @@
 				tb.SetServers(nil, nil)
 			} else {
 				change(&server)
-				same = server.ID == "first" && server.Incarnation == 1
+				// A run that had started may be the one that answered.
+				same = server.ID == "first" && server.Incarnation <= uint64(time.Now().UnixMilli())
 			}
 			tb.SetServers([]*tracker.Server{&server}, nil)
 			if res := tb.call(context.Background(), "GET", "/any/x", ""); (res.status == 503) != same {
@@ -152,6 +154,24 @@
 	}
 }
 
+// TestAnswerHoldsForLifeThatHadStarted guards against a server that gets requests though it has asked for none,
+// in an answer that came before the heartbeats of its present run.
+func TestAnswerHoldsForLifeThatHadStarted(t *testing.T) {
+	withTestbed(t, backendHandlers{"first": asksToWait()}, func(tb *testbed) {
+		server := tracker.Server{ID: "first", Service: "svc", Address: "first:1", Domain: "z", Slots: 4, Incarnation: 1, LastHeartbeatAt: time.Now()}
+		started := uint64(time.Now().UnixMilli())
+		tb.call(context.Background(), "GET", "/any/x", "")
+		time.Sleep(100 * time.Millisecond)
+		server.Incarnation = started
+		tb.SetServers([]*tracker.Server{&server}, nil)
+		before := len(tb.backends["first"].receivedIDs())
+		tb.call(context.Background(), "GET", "/any/x", "")
+		if got := len(tb.backends["first"].receivedIDs()); got > before {
+			t.Errorf("the server got %d requests after it had asked to wait", got-before)
+		}
+	})
+}
+
 // TestStatementsOfOtherAnswersAreIgnored guards against servers that get no requests because of
 // an answer that does not ask to wait, or that is not their own.
 func TestStatementsOfOtherAnswersAreIgnored(t *testing.T) {
--- a/internal/withholder/withholder.go
+++ b/internal/withholder/withholder.go
@@ -3,10 +3,12 @@
 // A server says so in its answers. One that turns a request away may name a time in which it
 // wants nothing from the process that sent it. One that leaves says that it wants nothing more; it
 // goes on with the requests that it has. A Ledger holds what servers have said, as facts about one
-// incarnation of a server: a new incarnation starts without them.
+// incarnation of a server: a new incarnation starts without them. An answer does not name its
+// incarnation, and that of one which has not announced itself yet counts for the former one. So a
+// statement holds for a later incarnation too, for a while, if that one had started when the answer came.
 //
-// Times are those of a monotonic clock that keeps running while the machine is suspended. The
-// package does no I/O and reads no clock.
+// Times are those of a monotonic clock that keeps running while the machine is suspended, but for the Unix
+// times that starts are compared with. The package does no I/O and reads no clock.
 package withholder
 
 import (
@@ -34,6 +36,9 @@
 	// Unreadable is set if the answer holds a value that cannot be read. It changes nothing that
 	// is known.
 	Unreadable bool
+	// SaidAt is when the answer came, in Unix milliseconds as the starts of incarnations. If it is 0, the
+	// statement holds for no later incarnation.
+	SaidAt uint64
 }
 
 // Values in which servers state whether they leave.
@@ -103,6 +108,10 @@
 	// server that leaves has no such end.
 	Since, Until time.Duration
 	Leaving      bool
+	// LastSaid and SaidAt are when the server last said so, by the monotonic clock and in Unix
+	// milliseconds.
+	LastSaid time.Duration
+	SaidAt   uint64
 	// Source is the ID of the request whose answer named Until, or said that the server leaves.
 	Source string
 }
@@ -134,11 +143,14 @@
 	if s.Wait <= 0 && !s.Leaving {
 		return Unchanged
 	}
-	in := Notice{Server: id, Incarnation: inc, Since: now, Until: now + s.Wait, Leaving: s.Leaving, Source: source}
+	in := Notice{Server: id, Incarnation: inc, Since: now, Until: now + s.Wait, Leaving: s.Leaving, Source: source, LastSaid: now, SaidAt: s.SaidAt}
 	if s.Leaving {
 		in.Until = forever
 	}
 	known := l.byServer[id]
+	if known != nil && known.Incarnation == inc {
+		known.LastSaid, known.SaidAt = now, max(known.SaidAt, s.SaidAt)
+	}
 	switch {
 	case known == nil || known.Incarnation < inc || known.Incarnation == inc && known.Until <= now:
 		if l.byServer == nil {
@@ -157,12 +169,25 @@
 // is valid until the next change.
 func (l *Ledger) Get(now time.Duration, id identifier.Server, inc identifier.Incarnation) *Notice {
 	n := l.byServer[id]
-	if n == nil || n.Incarnation != inc || n.Until <= now {
+	if n == nil || n.Until <= now || n.Incarnation != inc && !n.holdsForNext(now, inc) {
 		return nil
 	}
 	return n
 }
 
+const (
+	// clockSlack is the largest difference between the clocks of two machines that are not stepped.
+	clockSlack = 500 * time.Millisecond
+	// nextIncarnationTime is how long a statement holds for a later incarnation, which may not have made it.
+	// One that has ends within that time, or makes it again.
+	nextIncarnationTime = 30 * time.Second
+)
+
+// holdsForNext reports whether a later incarnation may have made the statement.
+func (n *Notice) holdsForNext(now time.Duration, inc identifier.Incarnation) bool {
+	return n.SaidAt > 0 && inc > n.Incarnation && uint64(inc) <= n.SaidAt+uint64(clockSlack.Milliseconds()) && now-n.LastSaid < nextIncarnationTime
+}
+
 // IsEmpty reports whether nothing is known of any server.
 func (l *Ledger) IsEmpty() bool { return len(l.byServer) == 0 }
 
