tracker: a server that is heard has no successor at its address

Cause: markSuperseded took any announcement with a later start for a successor. An address is given again only reuseAfterS after its former server has ended, so a server that was heard since then has not.

Change: a server counts as succeeded once it has not been heard for ReuseTime (bounds.reuse_after_s, at least 1.5 heartbeat intervals); while it is heard, the claim is looked at again. Why this works: both times are arrivals by one clock, and a server that runs is heard within a heartbeat interval. A sound successor whose predecessor's last heartbeat came late waits for ReuseTime after it.

--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -81,6 +81,9 @@
 	// ToleratedVMLosses is the number of VMs with a core process that may be lost at the same
 	// time. 0 means as many as the core processes that the system began with can bear.
 	ToleratedVMLosses int `yaml:"tolerated_vm_losses" json:"tolerated_vm_losses"`
+	// ReuseAfterS is the least time between the end of a backend server and the start of another one at its
+	// address. 0 means that the platform states none.
+	ReuseAfterS float64 `yaml:"reuse_after_s" json:"reuse_after_s"`
 }
 
 // HeartbeatInterval returns HeartbeatIntervalMS as a duration.
@@ -95,6 +98,9 @@
 // RetryWindow returns RetryWindowS as a duration.
 func (b *NodeBounds) RetryWindow() time.Duration { return seconds(b.RetryWindowS) }
 
+// ReuseTime returns ReuseAfterS as a duration.
+func (b *NodeBounds) ReuseTime() time.Duration { return seconds(b.ReuseAfterS) }
+
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -191,6 +197,7 @@
 		{"retry_window_s", b.RetryWindowS}, {"retry_slack", b.RetrySlack},
 		{"cold_overshoot", b.ColdOvershoot}, {"cold_slack", b.ColdSlack},
 		{"tolerated_vm_losses", float64(b.ToleratedVMLosses)},
+		{"reuse_after_s", b.ReuseAfterS},
 	} {
 		if v.value < 0 {
 			d.AddFinding([]string{"bounds", v.name}, "%s (%g) must not be negative", v.name, v.value)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -97,6 +97,9 @@
 	// SilenceTimeoutHeartbeats is the time without a heartbeat after which a backend
 	// server counts as silent, in heartbeat intervals.
 	SilenceTimeoutHeartbeats = 2.5
+	// minReuseHeartbeats is the least tracker.Registry.ReuseTime, in heartbeat intervals: a server that runs
+	// is heard within it.
+	minReuseHeartbeats = 1.5
 	// snapshotEntries and trailingEntries keep the log small, because one entry
 	// can hold a whole catalog.
 	snapshotEntries = 64
@@ -204,6 +207,7 @@
 	c.limits.allocator.Rand = rand.New(rand.NewPCG(c.Seed, addressHash+2))
 	c.limits.allocator.Issuer = throttler.IssuerID(c.registryID)
 	c.registry.SilenceTimeout = time.Duration(SilenceTimeoutHeartbeats * float64(set.Bounds.HeartbeatInterval()))
+	c.registry.ReuseTime = max(set.Bounds.ReuseTime(), time.Duration(minReuseHeartbeats*float64(set.Bounds.HeartbeatInterval())))
 	c.registry.IsNamed = func(s identifier.Service) bool { return c.catalog != nil && c.catalog.Service(s) != nil }
 	c.changed = make(chan struct{})
 	c.unreported, c.sharedDrains = map[identifier.Server]bool{}, map[identifier.Server]uint64{}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -163,6 +163,10 @@
 	// SilenceTimeout is the time without a heartbeat after which a server counts as
 	// silent.
 	SilenceTimeout time.Duration
+	// ReuseTime is the least time between the end of a server and the start of another one at its address.
+	// One that was heard later than that before another one announced its address still runs, or its last
+	// heartbeat came late; it counts as ended once it has not been heard for ReuseTime.
+	ReuseTime time.Duration
 	// IsNamed reports whether the configuration names a service; nil means that it names all.
 	// What announces itself for another service is not a server of the system, and its address
 	// says nothing about the servers that are.
@@ -170,6 +174,8 @@
 
 	servers  map[identifier.Server]*entry
 	revision uint64
+	// isContested is set if a server was heard too recently to have been succeeded at its address.
+	isContested bool
 }
 
 // entry is a server and the revision of its last change.
@@ -360,18 +366,23 @@
 }
 
 // markSuperseded marks other servers at the address of s that started before s as
-// gone and superseded.
+// gone and superseded, unless they were heard after they must have ended.
 func (g *Registry) markSuperseded(s *Server) {
 	if s.Gone || s.Address == "" || !g.isNamed(s.Service) {
 		return
 	}
 	for _, e := range g.servers {
 		o := &e.server
-		if o.ID != s.ID && o.Address == s.Address && !o.Superseded && o.Incarnation < s.Incarnation {
-			o.GonePresumed = o.GonePresumed || !o.Gone
-			o.Gone, o.Superseded = true, true
-			g.markChanged(e)
+		if o.ID == s.ID || o.Address != s.Address || o.Superseded || o.Incarnation >= s.Incarnation {
+			continue
+		}
+		if s.LastHeartbeatAt.Sub(o.LastHeartbeatAt) < g.ReuseTime {
+			g.isContested = true
+			continue
 		}
+		o.GonePresumed = o.GonePresumed || !o.Gone
+		o.Gone, o.Superseded = true, true
+		g.markChanged(e)
 	}
 }
 
@@ -380,12 +391,13 @@
 }
 
 // RecheckAddresses marks the servers that are superseded at their address, after IsNamed has
-// changed.
+// changed or time has passed.
 func (g *Registry) RecheckAddresses() {
+	g.isContested = false
 	newest := map[string]*Server{}
 	for _, e := range g.servers {
 		s := &e.server
-		if !s.Gone && g.isNamed(s.Service) && (newest[s.Address] == nil || newest[s.Address].Incarnation < s.Incarnation) {
+		if !s.Gone && !s.Silent && g.isNamed(s.Service) && (newest[s.Address] == nil || newest[s.Address].Incarnation < s.Incarnation) {
 			newest[s.Address] = s
 		}
 	}
@@ -429,6 +441,9 @@
 // SilenceTimeout, and removes those whose last one is longer ago than
 // entryRetention. It returns the ids newly marked as silent, in ascending order.
 func (g *Registry) ExpireServers(now time.Time) []identifier.Server {
+	if g.isContested {
+		g.RecheckAddresses()
+	}
 	var silent []identifier.Server
 	for id, e := range g.servers {
 		silence := now.Sub(e.server.LastHeartbeatAt)
