grouper: members are freed on proof that their head has ended, not on what is announced

The head went on with a member less.

Cause: memberCondition made of "another server has its address" and "has restarted", each one message that anybody can send, that the head is lost, and removeGroup freed the members at once. For a member the same made endGroup cut off the running requests. stepAbandoned counted a member as gone whose announced state was that of another start.

Change: such a server is presumed to have ended (conditionPresumed). Its group is closed by an order to the address where it joined, without cutting off requests; the members are free once that is answered by the head or by another server there. Without an answer the group is abandoned and its members leave first, with answers that count. A probe of a stalled member proves its end if another server answers, or one that has accepted no order since its start.

--- a/internal/grouper/fleet_test.go
+++ b/internal/grouper/fleet_test.go
@@ -62,6 +62,8 @@
 	// was ready.
 	readyEpochs map[uint64]bool
 	lateOrders  []lateOrder
+	// hasOrders is set once the engine has accepted an order.
+	hasOrders bool
 	// fence is the highest fencing token that the engine has seen.
 	fence uint64
 	// slowdown is how many times longer than declared the engine's steps take. 0 stands
@@ -126,7 +128,9 @@
 	// no member of its group was lost.
 	cutsAtWork []string
 	// firstRequestAt is when the first request came.
-	firstRequestAt  time.Time
+	firstRequestAt time.Time
+	// liars counts the servers that announced themselves and do not exist.
+	liars           int
 	violations      []string
 	loadStarts      []time.Time
 	log             []string
@@ -250,7 +254,10 @@
 
 // deliverOrder makes the engine execute an order now, late or never.
 func (f *fleet) deliverOrder(o Order) Outcome {
-	e := f.engines[o.Server]
+	e := f.engines[identifier.Server(o.Address)]
+	if e == nil {
+		return OutcomeUnreachable
+	}
 	switch {
 	case !e.alive && !e.gone:
 		return OutcomeUnreachable
@@ -262,9 +269,15 @@
 		return OutcomeUnreachable
 	case f.unansweredOrders > 0:
 		f.unansweredOrders--
+		if e.id != o.Server {
+			return OutcomeUnanswered
+		}
 		e.lateOrders = append(e.lateOrders, lateOrder{f.now.Add(f.lateOrderDelay), o})
 		return OutcomeUnanswered
 	}
+	if e.id != o.Server {
+		return OutcomeMisdirected
+	}
 	return f.executeOrder(e, o)
 }
 
@@ -282,6 +295,7 @@
 	case ActionProbe:
 		return OutcomeDone
 	case ActionStage:
+		e.hasOrders = true
 		e.loadingModel, e.loadedAt = o.Model, f.now.Add(f.loadTime(o.Model))
 		f.loadStarts = append(f.loadStarts, f.now)
 		return OutcomeAccepted
@@ -361,6 +375,7 @@
 	*m = tracker.Membership{
 		Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, e.id), State: tracker.StateJoining,
 	}
+	e.hasOrders = true
 	e.members, e.readyAt, e.opensAt, e.changed = o.Members, f.now.Add(joinTime), time.Time{}, true
 	e.incompleteSince = time.Time{}
 	e.lastModel = o.Model
@@ -477,7 +492,7 @@
 		if e.lastModel != "" {
 			s.LoadedModels = []string{e.lastModel}
 		}
-		f.registry.Apply(s)
+		f.registry.Announce(s)
 	}
 }
 
@@ -545,7 +560,9 @@
 func (f *fleet) replyTo(o orderOutcome) Reply {
 	r := Reply{Outcome: o.outcome}
 	if o.order.Action == ActionProbe && o.outcome == OutcomeDone {
-		r.Slowdown = max(f.engines[o.order.Server].slowdown, 1)
+		if e := f.engines[o.order.Server]; e != nil {
+			r.Slowdown, r.HasNoOrders = max(e.slowdown, 1), !e.hasOrders
+		}
 	}
 	return r
 }
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -219,6 +219,7 @@
 	for _, s := range members {
 		gr.info.Members = append(gr.info.Members, s.ID)
 		gr.incarnations = append(gr.incarnations, s.Incarnation)
+		gr.addresses = append(gr.addresses, s.Address)
 		if g.joinEffort(s, m.Name) >= effortLoad {
 			g.recordLoadStart(s, m)
 		}
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -62,7 +62,9 @@
 	// incarnations holds, in the order of the members, the incarnation of each that
 	// was ordered to join. A member with another one has restarted.
 	incarnations []uint64
-	phaseSince   time.Time
+	// addresses holds those of the members when they were ordered to join, in the same order.
+	addresses  []string
+	phaseSince time.Time
 	// formDeadline is when the group is given up unless it serves by then.
 	formDeadline time.Time
 	cutRequests  bool
@@ -78,7 +80,8 @@
 	// silenceCountsAt is when silent members count again as evidence against the group.
 	silenceCountsAt time.Time
 	// headClosed is set once the head has confirmed that it does not serve, headLeft
-	// once it has confirmed that it has left the group.
+	// once it has confirmed that it has left the group, or another server has replied at its
+	// address.
 	headClosed bool
 	headLeft   bool
 	// unansweredCloses counts the close orders since the end began whose outcome
@@ -123,6 +126,9 @@
 	probePending  bool
 	// slowdown is Reply.Slowdown of the last probe.
 	slowdown float64
+	// hasEnded is set if the last probe showed that an incarnation which had joined a group has ended: the
+	// server at its address is another one, or has accepted no order since its start.
+	hasEnded bool
 }
 
 // BeginTerm starts a term of the placement authority and drops the state of the
@@ -237,15 +243,21 @@
 	switch {
 	case outcome == OutcomeAccepted || outcome == OutcomeDone:
 		r.nextOrderAt = now
-		r.lastAccepted, r.lastAcceptedAt = o, now
+		r.lastAccepted, r.lastAcceptedAt, r.hasEnded = o, now, false
 		g.recordHeadOrder(gr, o, outcome)
 	case o.Action == ActionOpen && outcome == OutcomeUnanswered && gr != nil:
 		gr.openOrderExpires = now.Add(maxOrderDelay)
 	case o.Action == ActionClose && outcome == OutcomeUnanswered && gr != nil:
 		gr.unansweredCloses++
+	case o.Action == ActionLeave && (outcome == OutcomeUnfit || outcome == OutcomeMisdirected) && gr.isLeaving(o.Server):
+		// The server is not in that group, or another one has its address.
+		gr.leftMembers[o.Server] = true
 	case (o.Action == ActionClose || o.Action == ActionLeave) && outcome == OutcomeUnfit:
 		// The server is not in that group and epoch.
 		g.recordHeadOrder(gr, o, OutcomeDone)
+	case (o.Action == ActionClose || o.Action == ActionLeave) && outcome == OutcomeMisdirected && gr != nil && gr.info.Members[0] == o.Server:
+		// Another server has the head's address, so the head has ended.
+		gr.headLeft = true
 	case o.Action == ActionStage:
 		r.loadingModel = ""
 		r.excludedUntil = now.Add(failureBackoff)
@@ -257,6 +269,11 @@
 	}
 }
 
+// isLeaving reports whether a server is a member, other than the head, of an abandoned group.
+func (gr *group) isLeaving(id identifier.Server) bool {
+	return gr != nil && gr.info.Phase == PhaseAbandoned && gr.info.Members[0] != id
+}
+
 // recordHeadOrder records that the head of a group has closed or left it.
 func (g *Grouper) recordHeadOrder(gr *group, o Order, outcome Outcome) {
 	if gr == nil || gr.info.Members[0] != o.Server {
@@ -347,6 +364,7 @@
 	for _, s := range members {
 		gr.info.Members = append(gr.info.Members, s.ID)
 		gr.incarnations = append(gr.incarnations, s.Incarnation)
+		gr.addresses = append(gr.addresses, s.Address)
 	}
 	g.groups[id] = gr
 	switch {
@@ -444,7 +462,10 @@
 	if r == nil || r.pendingOrder != nil || g.now.Before(r.nextOrderAt) {
 		return false
 	}
-	o.Server, o.Address, o.FencingToken = s.ID, s.Address, g.fencingToken
+	o.Server, o.FencingToken = s.ID, g.fencingToken
+	if o.Address == "" {
+		o.Address = s.Address
+	}
 	if r.lastAccepted.Action == o.Action && r.lastAccepted.Epoch == o.Epoch && r.lastAccepted.CutRequests == o.CutRequests &&
 		r.lastAccepted.Model == o.Model && g.now.Sub(r.lastAcceptedAt) < acceptedOrderRetryDelay {
 		return false
--- a/internal/grouper/lifecycle.go
+++ b/internal/grouper/lifecycle.go
@@ -23,7 +23,11 @@
 	// they do not respond to a probe. A network partition shows in the same way, so
 	// this alone does not prove that the group is at a standstill.
 	conditionSilent
-	// conditionLost members are not known, have restarted, are superseded or are in
+	// conditionPresumed members are presumed to have ended: a later start of theirs was announced, or
+	// another server at their address. Another writer may have sent that, so it stops new requests
+	// at most, until the member's address has answered.
+	conditionPresumed
+	// conditionLost members are not known any more, have ended as a probe has shown, or have announced that they are in
 	// another epoch.
 	conditionLost
 )
@@ -51,10 +55,12 @@
 	switch {
 	case s == nil || r == nil:
 		return conditionLost, fmt.Sprintf("%s is not known", id)
+	case (s.Incarnation != gr.incarnations[i] || s.Superseded) && r.hasEnded && r.probedAt.After(gr.phaseSince):
+		return conditionLost, fmt.Sprintf("%s has ended", id)
 	case s.Incarnation != gr.incarnations[i]:
-		return conditionLost, fmt.Sprintf("%s has restarted", id)
+		return conditionPresumed, fmt.Sprintf("%s is said to have restarted", id)
 	case s.Superseded:
-		return conditionLost, fmt.Sprintf("another server has the address of %s", id)
+		return conditionPresumed, fmt.Sprintf("another server has the address of %s", id)
 	case r.absentAt.After(s.LastHeartbeatAt):
 		return conditionSilent, fmt.Sprintf("no process listens at the address of %s", id)
 	case i > 0 && g.failedProbe(s):
@@ -138,7 +144,7 @@
 			gr.info.Phase = PhaseOpening
 			g.recordDecision("every member is ready", gr)
 		}
-		g.sendOrder(head, Order{Action: ActionOpen, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "every member is ready"})
+		g.orderHead(gr, head, Order{Action: ActionOpen, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "every member is ready"})
 	}
 }
 
@@ -173,6 +179,8 @@
 	switch {
 	case headIs == conditionLost:
 		g.removeGroup(gr, headText)
+	case headIs == conditionPresumed:
+		g.endGroup(gr, false, headText)
 	case head.Membership.State == tracker.StateBroken:
 		g.removeGroup(gr, "the head announces that the group is broken")
 	case head.Membership.State == tracker.StateReady || head.Membership.State == tracker.StateJoining:
@@ -183,6 +191,8 @@
 		g.stepSilentHead(gr, suspicion, found)
 	case memberIs == conditionLost:
 		g.endGroup(gr, true, memberText)
+	case memberIs == conditionPresumed:
+		g.endGroup(gr, false, memberText)
 	case unreachable == 0:
 		g.abandonGroup(gr, unreachableText)
 	case unreachable > 0:
@@ -296,8 +306,8 @@
 }
 
 // stepAbandoned orders the members that are not silent to leave, until the head
-// announces itself again or is known to be lost. A member that has left is free for
-// other groups. Members that were silent too stay for the learning period: after a
+// announces itself again or is known to be lost. A member that has left, as it has announced or
+// replied, is free for other groups. Members that were silent too stay for the learning period: after a
 // network partition they announce themselves before or after their head.
 func (g *Grouper) stepAbandoned(gr *group) {
 	headIs, headText := g.memberCondition(gr, 0)
@@ -306,11 +316,19 @@
 		return
 	}
 	head := g.view.Registry.Get(gr.info.Members[0])
-	if head.LastHeartbeatAt.After(gr.phaseSince) {
+	switch {
+	case gr.headLeft:
+		g.removeGroup(gr, headText)
+		return
+	case headIs == conditionPresumed:
+		g.orderHead(gr, head, Order{Action: ActionLeave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: headText})
+	case head.LastHeartbeatAt.After(gr.phaseSince):
 		worst, text := g.worstCondition(gr)
 		switch {
 		case head.Membership.Epoch != gr.info.Epoch:
 			g.removeGroup(gr, "the head has left")
+		case worst == conditionPresumed && len(gr.leftMembers) == 0:
+			g.endGroup(gr, false, "the head announces itself again; "+text)
 		case worst <= conditionSilent && len(gr.leftMembers) == 0 && head.Membership.State == tracker.StateOpen:
 			gr.info.Phase, gr.info.Reason = PhaseServing, ""
 			gr.stalledSince, gr.silenceCountsAt = time.Time{}, g.now.Add(g.Policy.LearningPeriod)
@@ -332,11 +350,11 @@
 			// The head may be about to announce itself again too.
 			continue
 		}
-		if s.Membership.Epoch != gr.info.Epoch {
+		if s.Membership.Epoch != gr.info.Epoch && s.Incarnation == gr.incarnations[i] {
 			gr.leftMembers[id] = true
 			continue
 		}
-		g.sendOrder(s, Order{Action: ActionLeave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: gr.info.Reason})
+		g.sendOrder(s, Order{Action: ActionLeave, Address: gr.addresses[i], Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: gr.info.Reason})
 	}
 }
 
@@ -353,16 +371,24 @@
 func (g *Grouper) stepEnding(gr *group) {
 	headIs, headText := g.memberCondition(gr, 0)
 	head := g.view.Registry.Get(gr.info.Members[0])
-	if headIs == conditionLost {
+	isPresumed := headIs == conditionPresumed
+	switch {
+	case headIs == conditionLost:
 		g.removeGroup(gr, headText)
 		return
-	}
-	if head.Membership.Epoch != gr.info.Epoch {
+	case gr.headLeft, !isPresumed && head.Membership.Epoch != gr.info.Epoch:
 		g.removeGroup(gr, gr.info.Reason)
 		return
+	case isPresumed && gr.unansweredCloses > 0:
+		g.abandonGroup(gr, gr.info.Reason+"; its address does not respond to the close order")
+		return
 	}
 	g.escalateEnding(gr)
 	state := head.Membership.State
+	if isPresumed {
+		// What is announced is about another incarnation or server.
+		state = ""
+	}
 	switch {
 	case state == tracker.StateBroken:
 		g.removeGroup(gr, gr.info.Reason)
@@ -383,16 +409,16 @@
 		g.abandonGroup(gr, gr.info.Reason+"; the head does not respond to the close order")
 		return
 	}
-	if headIs == conditionSilent || head.Gone {
+	if headIs == conditionSilent || head.Gone || isPresumed {
 		g.stepSilentHead(gr, suspicion, found)
 		if gr.info.Phase != PhaseEnding {
 			return
 		}
 	}
-	if head.Membership.State == tracker.StateClosing && !gr.cutRequests {
+	if state == tracker.StateClosing && !gr.cutRequests {
 		return
 	}
-	g.sendOrder(head, Order{
+	g.orderHead(gr, head, Order{
 		Action: ActionClose, Group: gr.info.ID, Epoch: gr.info.Epoch, CutRequests: gr.cutRequests,
 		Reason: gr.info.Reason,
 	})
@@ -453,15 +479,23 @@
 func (g *Grouper) stepLeaving(gr *group) {
 	headIs, _ := g.memberCondition(gr, 0)
 	head := g.view.Registry.Get(gr.info.Members[0])
-	if headIs == conditionLost || gr.headLeft || head.Membership.Epoch != gr.info.Epoch {
+	isPresumed := headIs == conditionPresumed
+	if headIs == conditionLost || gr.headLeft || !isPresumed && head.Membership.Epoch != gr.info.Epoch {
 		g.removeGroup(gr, gr.info.Reason)
 		return
 	}
-	if (headIs == conditionSilent || head.Gone) && g.now.Sub(gr.phaseSince) > silentHeadTimeout {
+	if (headIs == conditionSilent || head.Gone || isPresumed) && g.now.Sub(gr.phaseSince) > silentHeadTimeout {
 		g.abandonGroup(gr, gr.info.Reason)
 		return
 	}
-	g.sendOrder(head, Order{Action: ActionLeave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "its open order may still be executed"})
+	g.orderHead(gr, head, Order{Action: ActionLeave, Group: gr.info.ID, Epoch: gr.info.Epoch, Reason: "its open order may still be executed"})
+}
+
+// orderHead sends an order to the head of a group at the address where it joined. What was announced since may be
+// about another server.
+func (g *Grouper) orderHead(gr *group, head *tracker.Server, o Order) {
+	o.Address = gr.addresses[0]
+	g.sendOrder(head, o)
 }
 
 // removeGroup ends a group whose head does not serve, which frees its members.
--- a/internal/grouper/slow.go
+++ b/internal/grouper/slow.go
@@ -28,8 +28,8 @@
 // probeStalledMembers probes every member of a group whose requests are stalled, to
 // find a dead or slow one. It is not taken into another group before it has responded.
 func (g *Grouper) probeStalledMembers(gr *group) {
-	for _, id := range gr.info.Members {
-		if s, r := g.view.Registry.Get(id), g.records[id]; s != nil && r != nil && g.probe(s, r, "requests at its group are stalled") {
+	for i, id := range gr.info.Members {
+		if s, r := g.view.Registry.Get(id), g.records[id]; s != nil && r != nil && g.probe(s, r, gr.addresses[i], "requests at its group are stalled") {
 			r.probeDue = true
 		}
 	}
@@ -38,13 +38,13 @@
 // probe sends a probe unless one is pending or the last one was recent. A probe
 // changes nothing at the server, so it may overlap with an order. It reports whether it
 // sent one.
-func (g *Grouper) probe(s *tracker.Server, r *serverRecord, reason string) bool {
+func (g *Grouper) probe(s *tracker.Server, r *serverRecord, address, reason string) bool {
 	if r.probePending || g.now.Sub(r.probedAt) < slowProbeInterval {
 		return false
 	}
 	r.probePending, r.probedAt = true, g.now
 	g.orders = append(g.orders, Order{
-		Action: ActionProbe, Server: s.ID, Address: s.Address, FencingToken: g.fencingToken, Reason: reason,
+		Action: ActionProbe, Server: s.ID, Address: address, FencingToken: g.fencingToken, Reason: reason,
 	})
 	return true
 }
@@ -59,7 +59,7 @@
 			continue
 		}
 		if r.probeDue || r.slowdown >= minSlowdown {
-			g.probe(s, r, "its pace is not known")
+			g.probe(s, r, s.Address, "its pace is not known")
 		}
 	}
 }
@@ -73,6 +73,7 @@
 	case OutcomeDone:
 		r.slowdown = reply.Slowdown
 	}
+	r.hasEnded = reply.Outcome == OutcomeMisdirected || reply.Outcome == OutcomeDone && reply.HasNoOrders
 	r.isUnreachable = reply.Outcome == OutcomeAbsent || reply.Outcome == OutcomeUnreachable
 	if reply.Outcome == OutcomeAbsent {
 		r.absentAt = now
--- a/internal/grouper/types.go
+++ b/internal/grouper/types.go
@@ -123,6 +123,8 @@
 	// Slowdown is how many times longer than declared the server's steps take, as the
 	// reply to a probe states. It is 0 if the reply does not state it.
 	Slowdown float64
+	// HasNoOrders is set if the reply to a probe states that the server has accepted no order since its start.
+	HasNoOrders bool
 }
 
 // Suspicion is what the requests of the front processes show about a backend server
