grouper: a server is free only once its present state is known in this term

Cause: isFree rested on what the member had announced, and the first heartbeat after the cut may be one that the cut has held, from before the member's last join. The new leader takes the group in it for ended, since the head has announced another one.

Change: after a change of the leader, a server is free only if it was heard in the term of this one, and, if it was silent when the term began, 1.5 heartbeat intervals later. Why this works: within a term all joins come from this leader, which knows them; a join of the former one shows in the heartbeat that each server sends every interval.

--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 
 	"trefoilhead.org/trefoilhead/internal/cataloger"
 	"trefoilhead.org/trefoilhead/internal/identifier"
@@ -89,12 +90,16 @@
 		!g.failedProbe(s) && !g.records[s.ID].absentAt.After(s.LastHeartbeatAt)
 }
 
-// isFree reports whether a live server in no group may join one now.
+// isFree reports whether a live server in no group may join one now. It does not before its present state is known:
+// a former holder of the placement authority, on the other side of a cut, may have made it join a group.
 func (g *Grouper) isFree(s *tracker.Server) bool {
 	r := g.records[s.ID]
 	if r.pendingOrder != nil || r.probeDue || g.now.Before(r.excludedUntil) {
 		return false
 	}
+	if !s.LastHeartbeatAt.After(g.heardSince) || g.now.Before(r.silentAt.Add(g.returnDelay())) {
+		return false
+	}
 	ms := s.Membership
 	if ms.Group != "" && g.ended[ms.Group].IsZero() {
 		// It announces a group that was not adopted yet.
@@ -103,6 +108,10 @@
 	return ms.Rank != 0 || ms.State != tracker.StateOpen && ms.State != tracker.StateClosing
 }
 
+// returnDelay is how long a server that was silent when the term began is heard before it is free. The first heartbeat after a
+// cut may be one that the cut has held.
+func (g *Grouper) returnDelay() time.Duration { return g.Policy.HeartbeatInterval * 3 / 2 }
+
 // formPlanned starts to form those groups planned for a fabric domain for which
 // there are free servers.
 func (g *Grouper) formPlanned(f *fabricPool) {
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -28,6 +28,8 @@
 	// caller has sent a request. Groups are planned from learningEnds on.
 	firstStart   bool
 	learningEnds time.Time
+	// heardSince is when this term began, or zero if no other process can have formed a group before.
+	heardSince time.Time
 	// arrivalsDeadline is when a first start stops postponing learningEnds for
 	// servers that have just announced themselves.
 	arrivalsDeadline time.Time
@@ -108,6 +110,8 @@
 	lastAcceptedAt time.Time
 	// excludedUntil keeps the server out of new groups until that time.
 	excludedUntil time.Time
+	// silentAt is until when the server was silent before it was heard in this term.
+	silentAt time.Time
 	// absentAt is when an order last found that no process listens at the server's
 	// address.
 	absentAt time.Time
@@ -142,8 +146,9 @@
 		g.epochsUsed = 0
 	}
 	g.fencingToken, g.firstStart = fencingToken, first
-	g.learningEnds = listeningSince.Add(g.Policy.LearningPeriod)
+	g.learningEnds, g.heardSince = listeningSince.Add(g.Policy.LearningPeriod), now
 	if first {
+		g.heardSince = time.Time{}
 		// Wait until no more servers announce themselves, so that there are enough
 		// for groups of every size.
 		g.learningEnds = now.Add(g.Policy.HeartbeatInterval)
@@ -306,6 +311,9 @@
 			}
 			continue
 		}
+		if s.Silent && !s.LastHeartbeatAt.After(g.heardSince) {
+			r.silentAt = g.now
+		}
 		if r.loadingModel != "" && (s.HasStaged(r.loadingModel) || g.now.After(r.loadDeadline)) {
 			r.loadingModel = ""
 		}
